--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# Verbs of the project; README.md shows demo and test, CONTRIBUTING.md the rest.
+GO ?= go
+SEEDS ?= 3
+
+.PHONY: build test lint format demo bench fuzz soak generate
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+# The tests of every package, also those that start separate processes on loopback. Tests listed in
+# KNOWN-RED.txt are run and printed, and do not decide the verdict.
+test: build
+	$(GO) run ./internal/knownred -file KNOWN-RED.txt -- $(GO) test -count=1 ./...
+
+lint:
+	@out=$$($(GO) tool gofumpt -l cmd internal pkg); if [ -n "$$out" ]; then echo "gofumpt: not formatted:"; echo "$$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool revive -config revive.toml -set_exit_status ./...
+
+format:
+	$(GO) tool gofumpt -w cmd internal pkg
+
+generate:
+	$(GO) generate ./...
--- /dev/null
+++ b/pkg/verdict/verdict.go
@@ -0,0 +1,90 @@
+// Package verdict says whether a request may have run.
+//
+// Every refusal and every failure inside the system carries a Verdict and a Reason. The verdict is
+// what a caller needs to decide about sending a request again: only after NotRun is a second attempt
+// of a non-idempotent request safe. Values are immutable and safe for concurrent use.
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+//go:generate go tool stringer -type=Verdict -linecomment -output=verdict_string.go
+
+// Verdict says whether a request may have taken effect at a backend server.
+type Verdict int
+
+const (
+	// NotRun means that no byte of the request can have reached a server that may act on it, or that
+	// the server itself said that it did not act.
+	NotRun Verdict = iota // not-run
+	// MayHaveRun means that the request may or may not have taken effect.
+	MayHaveRun // may-have-run
+	// Ran means that the request took effect.
+	Ran // ran
+)
+
+// MarshalText encodes the verdict by its name.
+func (v Verdict) MarshalText() ([]byte, error) {
+	return []byte(v.String()), nil
+}
+
+// UnmarshalText accepts the names that MarshalText writes.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	for known := NotRun; known <= Ran; known++ {
+		if known.String() == string(text) {
+			*v = known
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown verdict %q", text)
+}
+
+// Error is a failure together with its verdict.
+type Error struct {
+	// Verdict says whether the request may have run.
+	Verdict Verdict
+	// Reason is the code that logs, metrics and answers use.
+	Reason Reason
+	// Detail is a sentence for people; it may be empty.
+	Detail string
+	// RetryAfter is when sending the request again makes sense; zero if unknown.
+	RetryAfter time.Duration
+}
+
+// New returns an error with a verdict, a reason and a formatted detail.
+func New(v Verdict, r Reason, format string, args ...any) *Error {
+	return &Error{Verdict: v, Reason: r, Detail: fmt.Sprintf(format, args...)}
+}
+
+// WithRetryAfter returns a copy that tells the caller when to come back.
+func (e *Error) WithRetryAfter(after time.Duration) *Error {
+	changed := *e
+	changed.RetryAfter = after
+	return &changed
+}
+
+// WithVerdict returns a copy with another verdict.
+func (e *Error) WithVerdict(v Verdict) *Error {
+	changed := *e
+	changed.Verdict = v
+	return &changed
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Detail == "" {
+		return fmt.Sprintf("%s (%s)", e.Reason, e.Verdict)
+	}
+	return fmt.Sprintf("%s (%s): %s", e.Reason, e.Verdict, e.Detail)
+}
+
+// Of returns the verdict of err. An error without one is MayHaveRun, because nothing is known of it.
+func Of(err error) Verdict {
+	if known, ok := errors.AsType[*Error](err); ok {
+		return known.Verdict
+	}
+	return MayHaveRun
+}
