--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -2,53 +2,175 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
 // View is the fleet at one moment: every listed entry instance and backend server.
 type View struct {
-	entries   map[InstanceID]Entry
-	servers   map[ServerID]Server
-	byService map[ServiceID][]ServerID
-	byZone    map[ZoneID][]InstanceID
+	entries   PersistentMap[InstanceID, Entry]
+	servers   PersistentMap[ServerID, Server]
+	byService PersistentMap[ServiceID, []ServerID]
+	byZone    PersistentMap[ZoneID, []InstanceID]
+	inZone    PersistentMap[ZoneID, []ServerID]
+	// leaving holds the few entry instances that leave, so that nobody scans all for them.
+	leaving map[InstanceID]bool
 }
 
 // NewView returns the view of these entry instances and backend servers.
 func NewView(entries []Entry, servers []Server) *View {
-	v := &View{
-		entries:   make(map[InstanceID]Entry, len(entries)),
-		servers:   make(map[ServerID]Server, len(servers)),
-		byService: make(map[ServiceID][]ServerID),
-		byZone:    make(map[ZoneID][]InstanceID),
+	return new(View).With(entries, nil, servers, nil)
+}
+
+// With returns a view with these entry instances and backend servers added or replaced and the gone
+// ones removed. Its cost is that of the changed items and their zones, not that of the whole fleet.
+func (v *View) With(entries []Entry, goneEntries []InstanceID, servers []Server, goneServers []ServerID) *View {
+	next := *v
+	next.setEntries(entries, goneEntries)
+	next.setServers(servers, goneServers)
+	return &next
+}
+
+// WithEntry returns a view with the entry instance added or replaced.
+func (v *View) WithEntry(entry Entry) *View { return v.With([]Entry{entry}, nil, nil, nil) }
+
+// WithoutEntry returns a view without the entry instance.
+func (v *View) WithoutEntry(id InstanceID) *View { return v.With(nil, []InstanceID{id}, nil, nil) }
+
+// WithServer returns a view with the backend server added or replaced.
+func (v *View) WithServer(server Server) *View { return v.With(nil, nil, []Server{server}, nil) }
+
+// WithoutServer returns a view without the backend server.
+func (v *View) WithoutServer(id ServerID) *View { return v.With(nil, nil, nil, []ServerID{id}) }
+
+func (v *View) setEntries(entries []Entry, gone []InstanceID) {
+	if len(entries)+len(gone) == 0 {
+		return
+	}
+	all := v.entries.Edit()
+	zones := newGroups(v.byZone)
+	for _, id := range gone {
+		if old := all.Get(id); old != nil {
+			zones.remove(old.Zone, id)
+			all.Delete(id)
+		}
 	}
 	for _, entry := range entries {
-		v.entries[entry.ID] = entry
-		v.byZone[entry.Zone] = append(v.byZone[entry.Zone], entry.ID)
+		old := all.Get(entry.ID)
+		if old != nil && old.Zone != entry.Zone {
+			zones.remove(old.Zone, entry.ID)
+		}
+		if old == nil || old.Zone != entry.Zone {
+			zones.add(entry.Zone, entry.ID)
+		}
+		all.Set(entry.ID, entry)
+	}
+	v.entries, v.byZone = all.Map(), zones.done()
+	v.leaving = maps.Clone(v.leaving)
+	for _, id := range gone {
+		delete(v.leaving, id)
+	}
+	for _, entry := range entries {
+		if !entry.Leaving {
+			delete(v.leaving, entry.ID)
+			continue
+		}
+		if v.leaving == nil {
+			v.leaving = make(map[InstanceID]bool)
+		}
+		v.leaving[entry.ID] = true
+	}
+}
+
+func (v *View) setServers(servers []Server, gone []ServerID) {
+	if len(servers)+len(gone) == 0 {
+		return
+	}
+	all := v.servers.Edit()
+	services, zones := newGroups(v.byService), newGroups(v.inZone)
+	for _, id := range gone {
+		if old := all.Get(id); old != nil {
+			services.remove(old.Service, id)
+			zones.remove(old.Zone, id)
+			all.Delete(id)
+		}
 	}
 	for _, server := range servers {
-		v.servers[server.ID] = server
-		v.byService[server.Service] = append(v.byService[server.Service], server.ID)
+		old := all.Get(server.ID)
+		if old != nil && old.Service != server.Service {
+			services.remove(old.Service, server.ID)
+		}
+		if old == nil || old.Service != server.Service {
+			services.add(server.Service, server.ID)
+		}
+		if old != nil && old.Zone != server.Zone {
+			zones.remove(old.Zone, server.ID)
+		}
+		if old == nil || old.Zone != server.Zone {
+			zones.add(server.Zone, server.ID)
+		}
+		all.Set(server.ID, server)
+	}
+	v.servers, v.byService, v.inZone = all.Map(), services.done(), zones.done()
+}
+
+// groups edits a map from a group to its sorted members. It copies the members of a group once.
+type groups[G, M ~string] struct {
+	edit    *MapEdit[G, []M]
+	changed map[G][]M
+}
+
+func newGroups[G, M ~string](from PersistentMap[G, []M]) *groups[G, M] {
+	return &groups[G, M]{edit: from.Edit(), changed: make(map[G][]M)}
+}
+
+func (g *groups[G, M]) members(group G) []M {
+	if members, ok := g.changed[group]; ok {
+		return members
 	}
-	for _, ids := range v.byZone {
-		slices.Sort(ids)
+	if members := g.edit.Get(group); members != nil {
+		return slices.Clone(*members)
 	}
-	for _, ids := range v.byService {
-		slices.Sort(ids)
+	return nil
+}
+
+func (g *groups[G, M]) add(group G, member M) {
+	g.changed[group] = append(g.members(group), member)
+}
+
+func (g *groups[G, M]) remove(group G, member M) {
+	members := g.members(group)
+	if at := slices.Index(members, member); at >= 0 {
+		members = slices.Delete(members, at, at+1)
 	}
-	return v
+	g.changed[group] = members
+}
+
+func (g *groups[G, M]) done() PersistentMap[G, []M] {
+	for group, members := range g.changed {
+		if len(members) == 0 {
+			g.edit.Delete(group)
+			continue
+		}
+		slices.Sort(members)
+		g.edit.Set(group, members)
+	}
+	return g.edit.Map()
 }
 
 // Entry returns an entry instance.
 func (v *View) Entry(id InstanceID) (Entry, bool) {
-	entry, ok := v.entries[id]
-	return entry, ok
+	if entry := v.entries.Get(id); entry != nil {
+		return *entry, true
+	}
+	return Entry{}, false
 }
 
 // Entries returns all entry instances in the order of their names.
 func (v *View) Entries() []Entry {
-	all := make([]Entry, 0, len(v.entries))
-	for _, entry := range v.entries {
-		all = append(all, entry)
+	all := make([]Entry, 0, v.entries.Len())
+	for _, entry := range v.entries.All() {
+		all = append(all, *entry)
 	}
 	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 	return all
@@ -56,15 +178,17 @@
 
 // Server returns a backend server.
 func (v *View) Server(id ServerID) (Server, bool) {
-	server, ok := v.servers[id]
-	return server, ok
+	if server := v.servers.Get(id); server != nil {
+		return *server, true
+	}
+	return Server{}, false
 }
 
 // Servers returns all backend servers in the order of their names.
 func (v *View) Servers() []Server {
-	all := make([]Server, 0, len(v.servers))
-	for _, server := range v.servers {
-		all = append(all, server)
+	all := make([]Server, 0, v.servers.Len())
+	for _, server := range v.servers.All() {
+		all = append(all, *server)
 	}
 	slices.SortFunc(all, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	return all
@@ -73,11 +197,37 @@
 // ServersOf returns the names of a service's replicas in ascending order. The caller does not change
 // the slice.
 func (v *View) ServersOf(service ServiceID) []ServerID {
-	return v.byService[service]
+	return membersOf(v.byService, service)
 }
 
 // EntriesOf returns the names of a zone's entry instances in ascending order. The caller does not
 // change the slice.
 func (v *View) EntriesOf(zone ZoneID) []InstanceID {
-	return v.byZone[zone]
+	return membersOf(v.byZone, zone)
+}
+
+// ServersIn returns the names of a zone's backend servers in ascending order. The caller does not
+// change the slice.
+func (v *View) ServersIn(zone ZoneID) []ServerID {
+	return membersOf(v.inZone, zone)
+}
+
+// Zones returns the names of the zones that have entry instances or backend servers, in ascending order.
+func (v *View) Zones() []ZoneID {
+	var all []ZoneID
+	for zone := range v.byZone.All() {
+		all = append(all, zone)
+	}
+	for zone := range v.inZone.All() {
+		all = append(all, zone)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+func membersOf[G, M ~string](groups PersistentMap[G, []M], group G) []M {
+	if members := groups.Get(group); members != nil {
+		return *members
+	}
+	return nil
 }
--- /dev/null
+++ b/internal/replica/handover.go
@@ -0,0 +1,119 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+// Handover returns the state of servers that another instance takes over. The caller has given up its
+// claim before, so that nothing is sent after the state was read.
+func (o *Owner) Handover(servers []fleet.ServerID) []Handed {
+	now := time.Now()
+	var handed []Handed
+	for _, id := range servers {
+		if g := o.known(id); g != nil {
+			handed = append(handed, g.handed(now))
+		}
+	}
+	return handed
+}
+
+func (g *gate) handed(now time.Time) Handed {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	h := Handed{
+		Server: g.id, State: g.state, Ramp: g.limit, StartMark: g.startMark,
+		ServiceTime: g.mean, Samples: g.samples, InUse: g.inUse,
+	}
+	if g.inUse == 0 {
+		return h
+	}
+	for _, t := range g.tasks {
+		if !t.queued {
+			h.Until = max(h.Until, t.part.Deadline.Sub(now))
+		}
+	}
+	return h
+}
+
+// Adopt takes over the state of servers from their former owner. State that this instance has learnt
+// from its own calls is newer and stays.
+func (o *Owner) Adopt(handed []Handed) {
+	now := time.Now()
+	for _, h := range handed {
+		o.gate(h.Server, now).adopt(now, h)
+	}
+}
+
+func (g *gate) adopt(now time.Time, h Handed) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if h.InUse > 0 && h.Until > 0 {
+		g.reserved, g.reservedUntil = h.InUse, now.Add(h.Until)
+		time.AfterFunc(h.Until, func() {
+			g.mutex.Lock()
+			defer g.mutex.Unlock()
+			g.pump(time.Now())
+		})
+	}
+	if g.learnt && !g.stale {
+		return
+	}
+	g.stale = false
+	g.limit = max(1, h.Ramp)
+	g.startMark = h.StartMark
+	g.mean, g.samples = h.ServiceTime, h.Samples
+	if h.State == Leaving {
+		g.saysLeaving = true
+	}
+	g.enter(now, h.State, g.reason)
+}
+
+// Refresh applies a new ownership table, fleet view or catalogue: it refuses what is queued for servers
+// that get nothing from this instance any more, and starts what has more room now.
+func (o *Owner) Refresh() {
+	now := time.Now()
+	o.gates.Range(func(key, value any) bool {
+		_, slots, refusal := o.allowed(key.(fleet.ServerID))
+		value.(*gate).refresh(now, slots, refusal)
+		return true
+	})
+}
+
+func (g *gate) refresh(now time.Time, slots int, refusal *verdict.Error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.slots = slots
+	if refusal != nil {
+		g.stale = true
+		g.refuseQueued(refusal)
+		return
+	}
+	g.renew(now)
+	g.pump(now)
+}
+
+// renew starts the ramp again at a server that this instance did not send to for a while, because the
+// server may have restarted meanwhile.
+func (g *gate) renew(now time.Time) {
+	if !g.stale {
+		return
+	}
+	g.stale = false
+	g.learnt = false
+	if g.state == Leaving {
+		return
+	}
+	g.distress(now, Cold, verdict.Cold)
+}
+
+// Hint takes what a server's state endpoint says.
+func (o *Owner) Hint(server fleet.ServerID, startMark string, leaving bool) {
+	if g := o.known(server); g != nil {
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+		g.hint(time.Now(), startMark, leaving)
+	}
+}
