Rebuild the ownership table from changed entries and servers only

Cause: at 44,000 servers a table computed whole for each change costs far more than the change. Ruled out: one ranking of all servers for each changed entry, which costs servers times entries of the zone; the update compares the changed entry with the last candidate instead. Change: the table keeps the zone of each entry instance. The property test found that an instance that moves to another zone left its former zone's records stale; that is fixed by the kept zones. A later candidate that has not acknowledged this instance counts as unreachable instead of blocking the claim, so a joining or silent peer does not stop the first owner.

--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -190,11 +190,13 @@
 		if p := m.peer(chosen.id); !slices.Contains(former, chosen.id) {
 			// A new peer does not reopen the rounds before it.
 			p.outcome = later(p.outcome, m.completed)
+			// It cannot have claimed from an instance that was sending before it was known here.
+			p.granted = !m.completed.IsZero()
 		}
 	}
 	for _, id := range former {
 		if p, ok := m.peers[id]; ok && !slices.Contains(m.heartbeat, id) {
-			*p = peer{heard: p.heard, released: p.released, leaving: p.leaving, contact: Contact{Reachable: true, Released: true}}
+			*p = peer{heard: p.heard, released: p.released, leaving: p.leaving, contact: unknownContact}
 			m.dropped = append(m.dropped, id)
 		}
 	}
--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -29,7 +29,8 @@
 	From Entry
 	// Sent is when this instance sent the heartbeat; the round trip began no earlier.
 	Sent time.Time
-	// Acknowledged is set when the peer's view contains this instance and its ownership table follows it.
+	// Acknowledged is what the peer's Acknowledges says of this instance, after its ownership table was
+	// replaced accordingly.
 	Acknowledged bool
 	// Released is set when the peer has left or is out and sends nothing to backend servers any more.
 	Released bool
@@ -43,6 +44,7 @@
 	outcome      time.Time
 	heard        time.Time
 	acknowledged bool
+	granted      bool
 	released     bool
 	leaving      bool
 	suspect      bool
@@ -65,7 +67,9 @@
 	excluded  map[InstanceID]bool
 	round     time.Time
 	completed time.Time
-	leaving   bool
+	// unfenced is the start of the first round after the last fence; older acknowledgements are void.
+	unfenced time.Time
+	leaving  bool
 	// dropped holds peers whose contact changed because they are not heartbeated any more.
 	dropped []InstanceID
 	current *Reachability
@@ -104,8 +108,9 @@
 // FenceAfter every acknowledgement is void, because peers may have claimed servers meanwhile.
 func (m *Membership) BeginRound(now time.Time) ([]Entry, Change) {
 	if m.completed.IsZero() || now.Sub(m.completed) >= FenceAfter {
+		m.unfenced = now
 		for _, p := range m.peers {
-			p.acknowledged = false
+			p.acknowledged, p.granted = false, false
 		}
 	}
 	m.round = now
@@ -127,7 +132,10 @@
 	if reply.Sent.After(p.outcome) {
 		p.outcome = reply.Sent
 	}
-	p.acknowledged = reply.Acknowledged
+	if !reply.Sent.Before(m.unfenced) {
+		p.acknowledged = reply.Acknowledged
+		p.granted = p.granted || reply.Acknowledged
+	}
 	p.released = reply.Released
 	p.suspect = false
 	return change.Join(m.Advance(now))
@@ -174,13 +182,20 @@
 // Released tells whether this instance owns nothing, which heartbeats announce to the peers.
 func (m *Membership) Released() bool { return m.excluded[m.self.ID] }
 
+// Acknowledges tells whether this instance reaches the peer and so claims nothing that the peer is the
+// first to own. The ownership table is to be replaced before this is told to the peer.
+func (m *Membership) Acknowledges(id InstanceID) bool {
+	_, known := m.view.Entry(id)
+	return known && m.current.Contact(id).Reachable
+}
+
 // CompletedRound returns the start of the last round in which every peer answered or failed.
 func (m *Membership) CompletedRound() time.Time { return m.completed }
 
 func (m *Membership) peer(id InstanceID) *peer {
 	p, ok := m.peers[id]
 	if !ok {
-		p = &peer{contact: Contact{Reachable: true, Released: true}}
+		p = &peer{contact: unknownContact}
 		m.peers[id] = p
 	}
 	return p
@@ -232,13 +247,13 @@
 		last = p.since
 	}
 	if last.IsZero() {
-		return Contact{Reachable: true}
+		return Contact{Reachable: true, Granted: p.granted}
 	}
 	silence := now.Sub(last)
-	if silence < UnreachableAfter {
-		return Contact{Reachable: true, Released: p.acknowledged}
-	}
-	return Contact{Released: silence >= ClaimDelay}
+	p.granted = p.granted || silence >= ClaimDelay
+	contact := Contact{Reachable: silence < UnreachableAfter, Granted: p.granted, Silent: silence >= ClaimDelay}
+	contact.Acknowledged = contact.Reachable && p.acknowledged
+	return contact
 }
 
 // dropSilent removes peers that were only heard directly and are silent now.
--- a/internal/fleet/reachability.go
+++ b/internal/fleet/reachability.go
@@ -30,11 +30,19 @@
 type Contact struct {
 	// Reachable is set while a heartbeat was answered within UnreachableAfter.
 	Reachable bool
-	// Released is set when this instance may claim servers from the other: it acknowledged a view that
-	// contains this instance, or it has been silent for ClaimDelay.
-	Released bool
+	// Acknowledged is set while the other is reachable and said that it reaches this instance, so that it
+	// claims nothing of which this instance is the first owner.
+	Acknowledged bool
+	// Granted is set once the other has acknowledged this instance or was silent for ClaimDelay, and
+	// cleared when this instance was fenced. Before that the other may hold the whole of a server.
+	Granted bool
+	// Silent is set after ClaimDelay without an answer; the servers of the other may then be claimed.
+	Silent bool
 }
 
+// unknownContact stands for an instance that is not heartbeated; nothing is known against it.
+var unknownContact = Contact{Reachable: true, Acknowledged: true, Granted: true}
+
 // Reachability is the fleet as one entry instance reaches it at one moment. It is immutable.
 type Reachability struct {
 	self       Entry
@@ -56,12 +64,12 @@
 func (r *Reachability) View() *View { return r.view }
 
 // Contact returns the state of the connection to an entry instance. One that is not heartbeated counts
-// as reachable and released, because nothing is known against it.
+// as reachable, because nothing is known against it.
 func (r *Reachability) Contact(id InstanceID) Contact {
 	if contact, ok := r.contacts[id]; ok {
 		return contact
 	}
-	return Contact{Reachable: true, Released: true}
+	return unknownContact
 }
 
 // Eligible tells whether the entry instance can own servers: known, not leaving and not out.
--- a/internal/replica/gate.go
+++ b/internal/replica/gate.go
@@ -98,7 +98,7 @@
 	}
 	wait := g.serviceTime(expected) * time.Duration(ahead) / time.Duration(max(room, 1))
 	if room == 0 {
-		wait += g.reservedUntil.Sub(now)
+		wait += max(0, g.reservedUntil.Sub(now))
 	}
 	return wait
 }
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -61,16 +61,20 @@
 			continue
 		}
 		contact := reach.Contact(candidate)
-		// The claim waits for every candidate, because each may have owned the server until now.
-		decision.Claimed = decision.Claimed && contact.Released
-		if contact.Reachable {
-			if decision.Owner == "" {
-				decision.Owner = candidate
-			}
-			continue
+		if contact.Reachable && decision.Owner == "" {
+			decision.Owner = candidate
 		}
-		decision.Unreachable++
-		if !passed {
+		switch {
+		case passed:
+			// A later candidate that has not acknowledged this instance may still hold the part that it
+			// claimed while both were apart, so it counts as unreachable.
+			decision.Claimed = decision.Claimed && contact.Granted
+			if !contact.Acknowledged {
+				decision.Unreachable++
+			}
+		case !contact.Reachable:
+			decision.Claimed = decision.Claimed && contact.Silent
+			decision.Unreachable++
 			decision.Before++
 		}
 	}
--- a/internal/share/table.go
+++ b/internal/share/table.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 )
 
@@ -13,6 +15,9 @@
 // Table answers for each server who owns it and what this instance may use. It is immutable.
 type Table struct {
 	records fleet.PersistentMap[fleet.ServerID, record]
+	// zones holds the zone of each entry instance in the table's view; one that moves to another zone or
+	// goes touches the servers of its former zone as well.
+	zones fleet.PersistentMap[fleet.InstanceID, fleet.ZoneID]
 }
 
 type record struct {
@@ -26,6 +31,9 @@
 // NewTable computes the table of all servers in the view.
 func NewTable(reach *fleet.Reachability, limits Limits) *Table {
 	b := newBuilder(&Table{}, reach, limits)
+	for _, entry := range reach.View().Entries() {
+		b.zones.Set(entry.ID, entry.Zone)
+	}
 	for _, zone := range reach.View().Zones() {
 		for _, id := range reach.View().ServersIn(zone) {
 			b.replace(id)
@@ -104,14 +112,18 @@
 	reach    *fleet.Reachability
 	limits   Limits
 	edit     *fleet.MapEdit[fleet.ServerID, record]
+	zones    *fleet.MapEdit[fleet.InstanceID, fleet.ZoneID]
 	rankings map[fleet.ZoneID]ranking
 }
 
 func newBuilder(from *Table, reach *fleet.Reachability, limits Limits) *builder {
-	return &builder{reach: reach, limits: limits, edit: from.records.Edit(), rankings: make(map[fleet.ZoneID]ranking)}
+	return &builder{
+		reach: reach, limits: limits, edit: from.records.Edit(), zones: from.zones.Edit(),
+		rankings: make(map[fleet.ZoneID]ranking),
+	}
 }
 
-func (b *builder) table() *Table { return &Table{records: b.edit.Map()} }
+func (b *builder) table() *Table { return &Table{records: b.edit.Map(), zones: b.zones.Map()} }
 
 func (b *builder) ranking(zone fleet.ZoneID, region fleet.RegionID) ranking {
 	known, ok := b.rankings[zone]
@@ -150,39 +162,72 @@
 // entriesChanged recomputes the servers whose candidates include, or now would include, one of the
 // changed entry instances.
 func (b *builder) entriesChanged(changed []fleet.InstanceID) {
+	hashes := make([]uint64, len(changed))
+	for i, id := range changed {
+		hashes[i] = xxhash.Sum64String(string(id))
+	}
+	touched := b.moveEntries(changed)
 	for _, zone := range b.reach.View().Zones() {
 		servers := b.reach.View().ServersIn(zone)
-		if len(servers) == 0 || !b.touches(zone, changed) {
+		if len(servers) == 0 || !b.touches(zone, touched) {
 			continue
 		}
+		all := b.firstOrNone(zone, changed)
 		for _, id := range servers {
-			server, _ := b.reach.View().Server(id)
-			known := b.edit.Get(id)
-			candidates := b.ranking(server.Zone, server.Region).first(id)
-			if known == nil || known.candidates != candidates || containsAny(candidates[:], changed) {
-				b.set(server, candidates)
+			if known := b.edit.Get(id); all || known == nil || b.affects(known, id, changed, hashes) {
+				b.replace(id)
 			}
 		}
 	}
 }
 
-// touches tells whether a changed entry instance is or was a candidate for servers of the zone. One that
-// has gone from the view may have been in any zone, and one that came or went in another zone of the
-// region matters where the zone has no entry instance of its own.
-func (b *builder) touches(zone fleet.ZoneID, changed []fleet.InstanceID) bool {
-	own := b.reach.View().EntriesOf(zone)
-	if !slices.ContainsFunc(own, b.reach.Eligible) {
+// firstOrNone tells whether a zone has no entry instance of its own, or none but the changed ones; its
+// candidates may then move between the zone and its region.
+func (b *builder) firstOrNone(zone fleet.ZoneID, changed []fleet.InstanceID) bool {
+	return !slices.ContainsFunc(b.reach.View().EntriesOf(zone), func(id fleet.InstanceID) bool {
+		return b.reach.Eligible(id) && !slices.Contains(changed, id)
+	})
+}
+
+// affects tells whether a changed entry instance is a candidate of the server or outweighs one.
+func (b *builder) affects(known *record, server fleet.ServerID, changed []fleet.InstanceID, hashes []uint64) bool {
+	last := known.candidates[MaxCandidates-1]
+	if last == "" || containsAny(known.candidates[:], changed) {
 		return true
 	}
-	for _, id := range changed {
-		entry, ok := b.reach.View().Entry(id)
-		if !ok || entry.Zone == zone {
+	key := xxhash.Sum64String(string(server))
+	least := fleet.Weight(key, xxhash.Sum64String(string(last)))
+	for i, id := range changed {
+		if fleet.CompareWeights(fleet.Weight(key, hashes[i]), least, id, last) < 0 {
 			return true
 		}
 	}
 	return false
 }
 
+// moveEntries records the zones of the changed entry instances and returns their former and new ones.
+func (b *builder) moveEntries(changed []fleet.InstanceID) map[fleet.ZoneID]bool {
+	touched := make(map[fleet.ZoneID]bool)
+	for _, id := range changed {
+		if former := b.zones.Get(id); former != nil {
+			touched[*former] = true
+		}
+		if entry, ok := b.reach.View().Entry(id); ok {
+			touched[entry.Zone] = true
+			b.zones.Set(id, entry.Zone)
+		} else {
+			b.zones.Delete(id)
+		}
+	}
+	return touched
+}
+
+// touches tells whether the zone's candidates may differ: a zone without an eligible entry instance of
+// its own depends on its whole region.
+func (b *builder) touches(zone fleet.ZoneID, touched map[fleet.ZoneID]bool) bool {
+	return touched[zone] || !slices.ContainsFunc(b.reach.View().EntriesOf(zone), b.reach.Eligible)
+}
+
 func containsAny(candidates, changed []fleet.InstanceID) bool {
 	for _, id := range changed {
 		if slices.Contains(candidates, id) {
