--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,195 @@
+// Package admission decides which queries are started at all, by class, by the time left and by a
+// bound on the queries in progress that follows the observed latency.
+//
+// A Limiter owns its state under one lock; each decision takes a few comparisons. The package never
+// queues work: what cannot start now is refused at once with the time to come back.
+package admission
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/catalogue"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+// Limits bounds the number of queries in progress.
+type Limits struct {
+	Min, Initial, Max int
+}
+
+// DefaultLimits returns limits for an entry instance of the current deployments.
+func DefaultLimits() Limits { return Limits{Min: 8, Initial: 64, Max: 4096} }
+
+const (
+	// tolerance is the latency over the unloaded latency up to which the bound may grow.
+	tolerance = 2.0
+	// window is the least number of ended queries between two changes of the bound.
+	window = 16
+	// backoff shrinks the bound when backend servers refuse work as overloaded.
+	backoff = 0.9
+	// baselineDrift lets the unloaded latency follow a lasting change; it is per window.
+	baselineDrift = 1.01
+	// leastRetryAfter keeps callers from coming back in a tight loop when queries are very short.
+	leastRetryAfter = 50 * time.Millisecond
+)
+
+// share is the part of the bound that each class may fill, so that batch work leaves room for
+// settlement work, and both for interactive work.
+func share(class catalogue.Class) float64 {
+	switch class {
+	case catalogue.Interactive:
+		return 1
+	case catalogue.Settlement:
+		return 0.9
+	default:
+		return 0.5
+	}
+}
+
+// Outcome tells how an admitted query ended.
+type Outcome int
+
+const (
+	// Completed means that the query was answered.
+	Completed Outcome = iota
+	// Overloaded means that backend servers refused parts as overloaded, or that the deadline passed.
+	Overloaded
+	// Failed means an end that says nothing about load.
+	Failed
+)
+
+// Limiter admits queries. It is safe for concurrent use.
+type Limiter struct {
+	mu       sync.Mutex
+	limits   Limits
+	bound    float64
+	inFlight int
+	baseline float64 // unloaded latency in nanoseconds, 0 while unknown
+	typical  float64 // smoothed latency in nanoseconds
+	fastest  float64 // least latency in the window
+	total    float64
+	ended    int
+	overload bool
+	full     bool
+}
+
+// New returns a limiter.
+func New(limits Limits) *Limiter {
+	limits.Min = max(limits.Min, 1)
+	limits.Max = max(limits.Max, limits.Min)
+	return &Limiter{
+		limits: limits,
+		bound:  float64(min(max(limits.Initial, limits.Min), limits.Max)),
+	}
+}
+
+// Permit is the right to run one query; end it with Done.
+type Permit struct {
+	limiter *Limiter
+	started time.Time
+	once    sync.Once
+}
+
+// Admit starts a query or refuses it at once. A refusal is always NotRun.
+func (l *Limiter) Admit(class catalogue.Class, deadline time.Time) (*Permit, *verdict.Error) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	left := deadline.Sub(now)
+	if left <= 0 {
+		return nil, verdict.New(verdict.NotRun, verdict.DeadlinePassed, "the deadline has passed")
+	}
+	// One query at a time is admitted whatever was observed, so that an estimate that is too high is
+	// corrected.
+	if l.inFlight > 0 {
+		if float64(left) < l.baseline {
+			return nil, verdict.New(verdict.NotRun, verdict.DeadlineTooShort,
+				"%v left, queries take %v", left, time.Duration(l.baseline))
+		}
+		if float64(left) < l.typical {
+			return nil, l.refuse("%v left, queries take %v", left, time.Duration(l.typical))
+		}
+		if float64(l.inFlight) >= l.bound*share(class) {
+			l.full = true
+			return nil, l.refuse("%d queries in progress", l.inFlight)
+		}
+	}
+	l.inFlight++
+	return &Permit{limiter: l, started: now}, nil
+}
+
+func (l *Limiter) refuse(format string, args ...any) *verdict.Error {
+	after := max(time.Duration(l.typical), leastRetryAfter)
+	return verdict.New(verdict.NotRun, verdict.Overloaded, format, args...).WithRetryAfter(after)
+}
+
+// Done ends the query. Calls after the first do nothing.
+func (p *Permit) Done(outcome Outcome) {
+	p.once.Do(func() { p.limiter.end(time.Since(p.started), outcome) })
+}
+
+func (l *Limiter) end(latency time.Duration, outcome Outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight--
+	if outcome == Failed {
+		return
+	}
+	took := float64(latency)
+	if l.typical == 0 {
+		l.typical = took
+	}
+	l.typical += (took - l.typical) / 16
+	if outcome == Overloaded {
+		l.overload = true
+	} else if l.fastest == 0 || took < l.fastest {
+		l.fastest = took
+	}
+	l.total += took
+	l.ended++
+	if l.ended >= max(window, int(l.bound)/2) {
+		l.adapt()
+	}
+}
+
+// adapt changes the bound by the ratio of the tolerated to the observed latency, plus a square-root
+// allowance that lets it grow while latency stays near the unloaded one.
+func (l *Limiter) adapt() {
+	if l.fastest > 0 {
+		if l.baseline == 0 || l.fastest < l.baseline {
+			l.baseline = l.fastest
+		} else {
+			l.baseline *= baselineDrift
+		}
+	}
+	observed := l.total / float64(l.ended)
+	switch {
+	case l.overload:
+		l.bound *= backoff
+	case l.baseline > 0 && observed > 0:
+		gradient := min(1, max(0.5, tolerance*l.baseline/observed))
+		next := l.bound*gradient + math.Sqrt(l.bound)
+		// A bound that was not reached is no evidence that a larger one is safe.
+		if next < l.bound || l.full {
+			l.bound += (next - l.bound) / 4
+		}
+	}
+	l.bound = min(max(l.bound, float64(l.limits.Min)), float64(l.limits.Max))
+	l.total, l.ended, l.fastest, l.overload, l.full = 0, 0, 0, false, false
+}
+
+// State is what the limiter shows to operators.
+type State struct {
+	Bound    int
+	InFlight int
+	Typical  time.Duration
+}
+
+// State returns the present state.
+func (l *Limiter) State() State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return State{Bound: int(l.bound), InFlight: l.inFlight, Typical: time.Duration(l.typical)}
+}
--- /dev/null
+++ b/internal/query/choose.go
@@ -0,0 +1,86 @@
+package query
+
+import (
+	"slices"
+
+	"github.com/medlarlatch/medlarlatch/internal/snapshot"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+// random is a splitmix64 generator. It needs no allocation, so each query has its own and the same
+// seed gives the same choices.
+type random uint64
+
+func (r *random) next() uint64 {
+	*r += 0x9e3779b97f4a7c15
+	z := uint64(*r)
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+func (r *random) below(n int) int {
+	return int((r.next() >> 32) * uint64(n) >> 32)
+}
+
+// choose returns a usable replica of the service that is believed to hold the version and is not in
+// tried: the better of two that are drawn at random. A replica that has said nothing about versions
+// is taken only when none is known to hold it. A hedge goes to a replica that is warm and known.
+func (s *service) choose(version snapshot.Version, tried []*replicaState, hedge bool, draw *random, now int64) *replica {
+	if chosen := s.chooseAmong(version, snapshot.Holds, tried, hedge, draw, now); chosen != nil || hedge {
+		return chosen
+	}
+	return s.chooseAmong(version, snapshot.Unknown, tried, false, draw, now)
+}
+
+func (s *service) chooseAmong(version snapshot.Version, belief snapshot.Belief, tried []*replicaState, hedge bool, draw *random, now int64) *replica {
+	if len(s.replicas) == 0 {
+		return nil
+	}
+	first := s.scan(draw.below(len(s.replicas)), version, belief, tried, hedge, now, nil)
+	if first == nil {
+		return nil
+	}
+	second := s.scan(draw.below(len(s.replicas)), version, belief, tried, hedge, now, first)
+	if second == nil {
+		return first
+	}
+	typical := s.stats.typical.Load()
+	if second.state.score(typical, second.local, now) < first.state.score(typical, first.local, now) {
+		return second
+	}
+	return first
+}
+
+func (s *service) scan(start int, version snapshot.Version, belief snapshot.Belief, tried []*replicaState, hedge bool, now int64, except *replica) *replica {
+	for i := range s.replicas {
+		candidate := &s.replicas[(start+i)%len(s.replicas)]
+		switch {
+		case candidate == except,
+			candidate.state.leaving(now),
+			candidate.state.holding.Belief(version) != belief,
+			hedge && candidate.state.cold.Load(),
+			slices.Contains(tried, candidate.state):
+			continue
+		}
+		return candidate
+	}
+	return nil
+}
+
+// absence says why the service has no replica for the version.
+func (s *service) absence(version snapshot.Version, now int64) verdict.Reason {
+	reason := s.absent
+	for i := range s.replicas {
+		known := s.replicas[i].state
+		switch {
+		case known.leaving(now):
+			reason = verdict.Leaving
+		case known.holding.Belief(version) == snapshot.Lacks:
+			return verdict.VersionNotHeld
+		default:
+			reason = verdict.PeerUnreachable
+		}
+	}
+	return reason
+}
--- /dev/null
+++ b/internal/query/handle.go
@@ -0,0 +1,185 @@
+package query
+
+import (
+	"slices"
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+// handle takes one result. Results that match no live attempt of this query are counted and ignored.
+func (q *query) handle(result *Result, now time.Time) {
+	index, ok := q.byAttempt[result.Attempt]
+	if !ok {
+		q.engine.counters.Unmatched.Add(1)
+		return
+	}
+	shard := &q.shards[index]
+	at := slices.IndexFunc(shard.attempts, func(a attempt) bool { return a.id == result.Attempt })
+	ended := &shard.attempts[at]
+	if result.Shard != shard.shard || result.Version != q.version || result.Server != ended.to.id {
+		q.engine.counters.Mismatched.Add(1)
+		return
+	}
+	if !ended.live {
+		if shard.done {
+			q.engine.counters.Late.Add(1)
+		} else {
+			q.engine.counters.Duplicate.Add(1)
+		}
+		return
+	}
+	if result.Err == nil && result.Rows == nil {
+		result.Err = verdict.New(verdict.MayHaveRun, verdict.BadAnswer, "the answer has no rows")
+	}
+	ended.live = false
+	ended.to.state.inFlight.Add(-1)
+	ended.to.state.account(result, ended.sent, now)
+	if result.Err == nil {
+		q.succeed(shard, ended, result, now)
+		return
+	}
+	q.lose(index, ended, result.Err, now)
+}
+
+func (q *query) succeed(shard *shardRun, ended *attempt, result *Result, now time.Time) {
+	shard.service.stats.observe(now.Sub(ended.sent))
+	if ended.hedge {
+		q.engine.counters.HedgesWon.Add(1)
+	}
+	shard.done = true
+	shard.verdict = verdict.Ran
+	shard.rows = result.Rows
+	q.answered++
+	for i := range shard.attempts {
+		if loser := &shard.attempts[i]; loser.live {
+			shard.service.stats.observe(now.Sub(loser.sent))
+		}
+	}
+	q.giveUp(shard, now, true)
+}
+
+// lose takes a failed attempt: it waits for another one that runs, retries, moves the whole query to
+// another version, or gives the shard up.
+func (q *query) lose(index int, ended *attempt, err *verdict.Error, now time.Time) {
+	shard := &q.shards[index]
+	shard.verdict = max(shard.verdict, err.Verdict)
+	if err.Reason == verdict.HedgeRefused {
+		// The owner refused the hedge because of its budget; the replica is still good for a retry.
+		shard.tried = without(shard.tried, ended.to.state)
+	} else {
+		shard.reason, shard.after = err.Reason, err.RetryAfter
+	}
+	if slices.ContainsFunc(shard.attempts, func(a attempt) bool { return a.live }) {
+		return
+	}
+	if q.retry(index, ended, err, now) {
+		return
+	}
+	if shard.reason == verdict.VersionNotHeld && q.move(now) {
+		return
+	}
+	q.fail(shard, shard.reason)
+}
+
+// retry sends the part once more where the verdict, the budget and the time left allow it.
+func (q *query) retry(index int, ended *attempt, err *verdict.Error, now time.Time) bool {
+	shard := &q.shards[index]
+	switch err.Reason {
+	case verdict.Cancelled, verdict.InvalidRequest, verdict.Unauthorised:
+		return false
+	}
+	if !q.idempotent && shard.verdict != verdict.NotRun {
+		return false
+	}
+	if q.partDeadline.Sub(now) < leastTime {
+		return false
+	}
+	free := failedBeforeServer(err) || err.Reason == verdict.VersionNotHeld
+	if failedBeforeServer(err) && shard.reroutes < mostReroutes {
+		if owner, ok := q.engine.router.Route(ended.to.id); ok && owner != ended.owner {
+			shard.reroutes++
+			shard.tried = without(shard.tried, ended.to.state)
+		}
+	}
+	chosen, owner := q.choose(shard, false, now)
+	if chosen == nil {
+		return false
+	}
+	// A part that the backend server did not see, or answered by "version not held", costs it next to
+	// nothing; the number of these is bounded by the replicas.
+	if !free && !shard.service.stats.retries.take() {
+		q.engine.counters.RetriesDenied.Add(1)
+		return false
+	}
+	q.engine.counters.Retries.Add(1)
+	q.post(index, *chosen, owner, false, now)
+	return true
+}
+
+// move drops every result and starts the query again on another version that can be answered whole.
+// A query that is not idempotent moves only while no part can have run.
+func (q *query) move(now time.Time) bool {
+	if len(q.ruledOut) > mostMoves || q.partDeadline.Sub(now) < 2*leastTime {
+		return false
+	}
+	if !q.idempotent && !q.untouched() {
+		return false
+	}
+	q.plan = q.engine.plan.Load()
+	app, ok := q.plan.applications[q.request.Application]
+	if !ok || app.index == nil {
+		return false
+	}
+	q.app = app
+	choice, ok := q.choice()
+	if !ok || !choice.Whole {
+		return false
+	}
+	q.withdrawUnsent()
+	for i := range q.shards {
+		shard := &q.shards[i]
+		q.dropped = q.dropped || shard.verdict != verdict.NotRun || shard.inFlight()
+		q.giveUp(shard, now, true)
+	}
+	q.engine.counters.Moves.Add(1)
+	q.take(choice.Version)
+	q.start(now)
+	return true
+}
+
+// untouched tells whether every part so far has ended and none can have run.
+func (q *query) untouched() bool {
+	for i := range q.shards {
+		shard := &q.shards[i]
+		if shard.done || shard.verdict != verdict.NotRun {
+			return false
+		}
+		if slices.ContainsFunc(shard.attempts, func(a attempt) bool { return a.live }) {
+			return false
+		}
+	}
+	return true
+}
+
+func (q *query) fail(shard *shardRun, reason verdict.Reason) {
+	shard.failed = true
+	shard.reason = reason
+	q.failed++
+}
+
+// expire marks the shards that have no result at the deadline.
+func (q *query) expire() {
+	for i := range q.shards {
+		shard := &q.shards[i]
+		if shard.done || shard.failed {
+			continue
+		}
+		shard.verdict = max(shard.verdict, verdict.MayHaveRun)
+		q.fail(shard, verdict.DeadlinePassed)
+	}
+}
+
+func without(tried []*replicaState, state *replicaState) []*replicaState {
+	return slices.DeleteFunc(tried, func(other *replicaState) bool { return other == state })
+}
