Add peer: calls between entry instances over jsonrpc2

The query engine and the ownership code need a way to reach other entry instances. A Node listens, dials on demand, proves the shared key by an HMAC over a nonce of each side, and settles every part once with a true verdict. jsonrpc2 matches responses; frames are encoded outside of it, because its request encoder escapes and its decoder sorts the keys of the caller's query (seen in TestPartsArriveUnchanged before the change).

go test -race ./internal/peer passes.

--- /dev/null
+++ b/internal/peer/messages.go
@@ -0,0 +1,239 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/query"
+	"github.com/medlarlatch/medlarlatch/internal/snapshot"
+	"github.com/medlarlatch/medlarlatch/internal/ticket"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+// The methods of the peer protocol.
+const (
+	methodHello                = "hello"
+	methodHeartbeat            = "heartbeat"
+	methodPartsRun             = "parts.run"
+	methodPartsResult          = "parts.result"
+	methodPartsCancel          = "parts.cancel"
+	methodTicketRun            = "ticket.run"
+	methodConfigurationGet     = "configuration.get"
+	methodConfigurationChanged = "configuration.changed"
+	methodServersHandover      = "servers.handover"
+)
+
+// Heartbeat is what two instances tell each other with every heartbeat.
+type Heartbeat struct {
+	Instance    fleet.InstanceID   `json:"instance"`
+	Incarnation ticket.Incarnation `json:"incarnation"`
+	Zone        fleet.ZoneID       `json:"zone"`
+	// ViewDigest identifies the sender's view of the fleet.
+	ViewDigest uint64 `json:"view-digest"`
+	// Revision is the store revision of the configuration in force at the sender.
+	Revision uint64 `json:"revision"`
+	Leaving  bool   `json:"leaving,omitempty"`
+}
+
+// Configuration is a configuration document with its store revision.
+type Configuration struct {
+	Revision uint64 `json:"revision"`
+	Document []byte `json:"document"`
+}
+
+// PartsRunner runs parts for a remote coordinator. Run calls deliver exactly once for each part; it
+// may return before or after that. The context ends with the connection or at the last deadline.
+type PartsRunner interface {
+	Run(ctx context.Context, from fleet.InstanceID, parts []query.Part, deliver func(query.Result))
+	Cancel(from fleet.InstanceID, attempt uint64)
+}
+
+// HeartbeatHandler answers a peer's heartbeat with the state of this instance.
+type HeartbeatHandler interface {
+	Heartbeat(ctx context.Context, from Heartbeat) Heartbeat
+}
+
+// TicketRunner runs a ticket that this instance issued; it never forwards it.
+type TicketRunner interface {
+	RunTicket(ctx context.Context, from fleet.InstanceID, call ticket.Call) ticket.Outcome
+}
+
+// ConfigurationSource gives the configuration in force and hears of newer ones at peers.
+type ConfigurationSource interface {
+	Configuration(ctx context.Context) (Configuration, error)
+	ConfigurationChanged(ctx context.Context, from fleet.InstanceID, revision uint64)
+}
+
+// HandoverHandler takes over the state of servers from their previous owner. The state is passed as
+// the previous owner encoded it.
+type HandoverHandler interface {
+	Handover(ctx context.Context, from fleet.InstanceID, state json.RawMessage) error
+}
+
+// Handlers receive the calls of peers. A method whose handler is nil is refused as not ready.
+type Handlers struct {
+	Parts         PartsRunner
+	Heartbeats    HeartbeatHandler
+	Tickets       TicketRunner
+	Configuration ConfigurationSource
+	Handover      HandoverHandler
+}
+
+type wireError struct {
+	Verdict          verdict.Verdict `json:"verdict"`
+	Reason           verdict.Reason  `json:"reason"`
+	Detail           string          `json:"detail,omitempty"`
+	RetryAfterMillis int64           `json:"retry-after-millis,omitempty"`
+}
+
+func toWireError(err *verdict.Error) *wireError {
+	if err == nil {
+		return nil
+	}
+	return &wireError{err.Verdict, err.Reason, err.Detail, err.RetryAfter.Milliseconds()}
+}
+
+func (w *wireError) toError() *verdict.Error {
+	if w == nil {
+		return nil
+	}
+	return &verdict.Error{
+		Verdict: w.Verdict, Reason: w.Reason, Detail: w.Detail,
+		RetryAfter: time.Duration(w.RetryAfterMillis) * time.Millisecond,
+	}
+}
+
+// The application's error code of JSON-RPC under which a verdict travels in the error's data.
+const codeVerdict = -32000
+
+func toRPCError(err *verdict.Error) *jsonrpc2.Error {
+	rpcError := &jsonrpc2.Error{Code: codeVerdict, Message: err.Reason.String()}
+	rpcError.SetError(toWireError(err))
+	return rpcError
+}
+
+// fromRPCError returns the verdict that the peer sent with its refusal, or nil if it sent none.
+func fromRPCError(err error) *verdict.Error {
+	rpcError, ok := errors.AsType[*jsonrpc2.Error](err)
+	if !ok || rpcError.Code != codeVerdict || rpcError.Data == nil {
+		return nil
+	}
+	var refused wireError
+	if json.Unmarshal(*rpcError.Data, &refused) != nil {
+		return nil
+	}
+	return refused.toError()
+}
+
+type wirePart struct {
+	Attempt    uint64           `json:"attempt"`
+	Service    fleet.ServiceID  `json:"service"`
+	Shard      snapshot.ShardID `json:"shard"`
+	Server     fleet.ServerID   `json:"server"`
+	Version    snapshot.Version `json:"version"`
+	LeftMicros int64            `json:"left-micros"`
+	Hedge      bool             `json:"hedge,omitempty"`
+	Idempotent bool             `json:"idempotent,omitempty"`
+	// Query is absent when it equals that of the part before, as within one query.
+	Query json.RawMessage `json:"query,omitempty"`
+}
+
+type partsRun struct {
+	Forwarded bool       `json:"forwarded,omitempty"`
+	Parts     []wirePart `json:"parts"`
+}
+
+func sameQuery(a, b json.RawMessage) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+func toPartsRun(parts []query.Part, forwarded bool, now time.Time) partsRun {
+	run := partsRun{Forwarded: forwarded, Parts: make([]wirePart, len(parts))}
+	for i, part := range parts {
+		run.Parts[i] = wirePart{
+			part.Attempt, part.Service, part.Shard, part.Server, part.Version,
+			part.Deadline.Sub(now).Microseconds(), part.Hedge, part.Idempotent, part.Query,
+		}
+		if i > 0 && sameQuery(part.Query, parts[i-1].Query) {
+			run.Parts[i].Query = nil
+		}
+	}
+	return run
+}
+
+func (p partsRun) toParts(now time.Time) []query.Part {
+	parts := make([]query.Part, len(p.Parts))
+	for i, wire := range p.Parts {
+		if i > 0 && len(wire.Query) == 0 {
+			wire.Query = parts[i-1].Query
+		}
+		parts[i] = query.Part{
+			Attempt: wire.Attempt, Service: wire.Service, Shard: wire.Shard, Server: wire.Server,
+			Version: wire.Version, Deadline: now.Add(time.Duration(wire.LeftMicros) * time.Microsecond),
+			Hedge: wire.Hedge, Idempotent: wire.Idempotent, Query: wire.Query,
+		}
+	}
+	return parts
+}
+
+type wireResult struct {
+	Attempt uint64 `json:"attempt"`
+	// Shard, Server and Version are the result's own, so that a crossed one is seen.
+	Shard         snapshot.ShardID   `json:"shard"`
+	Server        fleet.ServerID     `json:"server"`
+	Version       snapshot.Version   `json:"version"`
+	Rows          json.RawMessage    `json:"rows,omitempty"`
+	Err           *wireError         `json:"error,omitempty"`
+	Held          []snapshot.Version `json:"held,omitempty"`
+	Leaving       bool               `json:"leaving,omitempty"`
+	Warm          bool               `json:"warm,omitempty"`
+	WaitMicros    int64              `json:"wait-micros,omitempty"`
+	ElapsedMicros int64              `json:"elapsed-micros,omitempty"`
+}
+
+type partsResult struct {
+	Call    uint64       `json:"call"`
+	Results []wireResult `json:"results"`
+}
+
+func toWireResult(result query.Result) wireResult {
+	return wireResult{
+		result.Attempt, result.Shard, result.Server, result.Version, result.Rows, toWireError(result.Err),
+		result.Held, result.Leaving, result.Warm, result.Wait.Microseconds(), result.Elapsed.Microseconds(),
+	}
+}
+
+func (w wireResult) toResult() query.Result {
+	return query.Result{
+		Attempt: w.Attempt, Shard: w.Shard, Server: w.Server, Version: w.Version, Rows: w.Rows,
+		Err: w.Err.toError(), Held: w.Held, Leaving: w.Leaving, Warm: w.Warm,
+		Wait:    time.Duration(w.WaitMicros) * time.Microsecond,
+		Elapsed: time.Duration(w.ElapsedMicros) * time.Microsecond,
+	}
+}
+
+type partsCancel struct {
+	Attempts []uint64 `json:"attempts"`
+}
+
+type ticketRun struct {
+	Ticket      string          `json:"ticket"`
+	Digest      ticket.Digest   `json:"digest"`
+	Application string          `json:"application"`
+	Body        json.RawMessage `json:"body"`
+	LeftMicros  int64           `json:"left-micros"`
+}
+
+type ticketRan struct {
+	Answer json.RawMessage `json:"answer,omitempty"`
+	Err    *wireError      `json:"error,omitempty"`
+}
+
+type configurationChanged struct {
+	Revision uint64 `json:"revision"`
+}
--- /dev/null
+++ b/internal/peer/node_test.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/medlarlatch/medlarlatch/internal/query"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+// Guards against a query or rows that change on the way, as by a decoder that sorts keys or escapes.
+func TestPartsArriveUnchanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		far := &runner{}
+		n := newNetwork()
+		a, b := n.join(t, "a", testKey, Handlers{}), n.join(t, "b", testKey, Handlers{Parts: far})
+		defer a.Close()
+		defer b.Close()
+		parts := testParts(20, time.Second)
+		results := collect(t.Context(), t, a, "b", parts)
+		is.Equal(len(results), 20)
+		for _, part := range parts {
+			is.Equal(results[part.Attempt], rowsOf(part))
+		}
+		is.Equal(len(far.ran), 20)
+		is.Equal(far.ran[3], parts[3]) // with its query and deadline
+		is.Equal(n.dials, 1)
+	})
+}
+
+// Guards against "not run" for a part that may have run, and against parts without any result.
+func TestEveryPartGetsATrueVerdict(t *testing.T) {
+	cases := map[string]struct {
+		key     string
+		to      string
+		answer  func(query.Part) *query.Result
+		verdict verdict.Verdict
+		reason  verdict.Reason
+	}{
+		"nobody listens":      {testKey, "c", nil, verdict.NotRun, verdict.PeerUnreachable},
+		"wrong key":           {"another key, also 32 bytes long..", "b", nil, verdict.NotRun, verdict.PeerUnreachable},
+		"no answer from peer": {testKey, "b", func(query.Part) *query.Result { return nil }, verdict.MayHaveRun, verdict.DeadlinePassed},
+		"peer refuses": {testKey, "b", func(part query.Part) *query.Result {
+			result := rowsOf(part)
+			result.Rows, result.Err = nil, verdict.New(verdict.NotRun, verdict.NotOwner, "")
+			return &result
+		}, verdict.NotRun, verdict.NotOwner},
+		"result of another shard": {testKey, "b", func(part query.Part) *query.Result {
+			result := rowsOf(part)
+			result.Shard = "shard-2"
+			return &result
+		}, verdict.MayHaveRun, verdict.BadAnswer},
+		"result of an unknown attempt": {testKey, "b", func(part query.Part) *query.Result {
+			result := rowsOf(part)
+			result.Attempt += 100
+			return &result
+		}, verdict.MayHaveRun, verdict.DeadlinePassed},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork()
+				a := n.join(t, "a", c.key, Handlers{})
+				b := n.join(t, "b", testKey, Handlers{Parts: &runner{answer: c.answer}})
+				requireVerdict(t, collect(t.Context(), t, a, fleetID(c.to), testParts(5, time.Second)), 5, c.verdict, c.reason)
+				a.Close()
+				b.Close()
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a heartbeat whose identity is what the sender claims instead of what it proved.
+func TestHeartbeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		a, b := n.join(t, "a", testKey, Handlers{}), n.join(t, "b", testKey, Handlers{Heartbeats: beats{}})
+		defer a.Close()
+		defer b.Close()
+		other, err := a.Heartbeat(context.Background(), "b", Heartbeat{Instance: "c", ViewDigest: 4})
+		is.NoErr(err)
+		is.Equal(other, Heartbeat{Instance: "b", Incarnation: b.settings.Incarnation, Zone: "zone-a", ViewDigest: 5})
+	})
+}
--- /dev/null
+++ b/internal/ticket/ticket.go
@@ -0,0 +1,80 @@
+// Package ticket runs each ticketed request at most once: it issues tickets, keeps the window of the
+// tickets of this incarnation in memory, and decides which verdict a repeat gets.
+//
+// The state belongs to one incarnation of one entry instance and is lost with it. The package never
+// opens a connection; tickets of other instances leave through a Forwarder.
+package ticket
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+// Incarnation is random for each start of an entry instance's process.
+type Incarnation [16]byte
+
+// String returns the incarnation in hexadecimal digits.
+func (i Incarnation) String() string { return hex.EncodeToString(i[:]) }
+
+// MarshalText encodes the incarnation in hexadecimal digits.
+func (i Incarnation) MarshalText() ([]byte, error) { return []byte(i.String()), nil }
+
+// UnmarshalText accepts what MarshalText writes.
+func (i *Incarnation) UnmarshalText(text []byte) error { return unmarshalHex(i[:], text) }
+
+// Digest identifies the content of a request.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of an application's request.
+func DigestOf(application string, body []byte) Digest {
+	hash := sha256.New()
+	fmt.Fprintf(hash, "%d:%s:", len(application), application)
+	hash.Write(body)
+	return Digest(hash.Sum(nil))
+}
+
+// MarshalText encodes the digest in hexadecimal digits.
+func (d Digest) MarshalText() ([]byte, error) { return []byte(hex.EncodeToString(d[:])), nil }
+
+// UnmarshalText accepts what MarshalText writes.
+func (d *Digest) UnmarshalText(text []byte) error { return unmarshalHex(d[:], text) }
+
+func unmarshalHex(to, text []byte) error {
+	if hex.DecodedLen(len(text)) != len(to) {
+		return fmt.Errorf("%d hexadecimal digits instead of %d", len(text), hex.EncodedLen(len(to)))
+	}
+	_, err := hex.Decode(to, text)
+	return err
+}
+
+// Call is a ticketed request on its way to the instance that issued the ticket.
+type Call struct {
+	// Ticket is the text form of the ticket.
+	Ticket string
+	// Digest is taken by the instance that received the request from the caller.
+	Digest      Digest
+	Application string
+	// Body is the caller's request, unchanged.
+	Body json.RawMessage
+	// Deadline is when the outcome is of no use any more.
+	Deadline time.Time
+}
+
+// Outcome is what a ticketed request came to. Err is nil for a complete answer.
+type Outcome struct {
+	Answer json.RawMessage
+	Err    *verdict.Error
+}
+
+// Forwarder carries a call to the instance that issued its ticket. The verdict of an error speaks of
+// this call alone: NotRun if it was never written or the issuer said so, else MayHaveRun.
+type Forwarder interface {
+	ForwardTicket(ctx context.Context, to fleet.InstanceID, call Call) Outcome
+}
