Add catalogue, configuration, platform, settings, command and the platform's stand-ins

Change: strict INI reader (internal/document) shared by catalogue and settings; holder, spreader and editor; HTTP adapters of store and instance list; stand-ins of both; operators' verbs; examples. Ruled out: reading INI with the library's defaults, because it merges repeated sections, takes the last of repeated keys, resolves %(name)s and stops at the first unreadable line.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -71,6 +71,8 @@
 	applications map[ApplicationID][]fleet.ServiceID
 	zonesOut     map[fleet.ZoneID]bool
 	instancesOut map[fleet.InstanceID]bool
+	// writeIDs are the ids of the last writes, newest first.
+	writeIDs []string
 }
 
 // New returns a catalogue of services that were already checked.
--- /dev/null
+++ b/internal/catalogue/format.go
@@ -0,0 +1,57 @@
+package catalogue
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+)
+
+// Format writes the catalogue as INI. Equal catalogues give equal text, and Parse reads the text back
+// to an equal catalogue.
+func (c Catalogue) Format() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "[%s]\nformat = %d\n", kindConfiguration, formatVersion)
+	if len(c.writeIDs) > 0 {
+		fmt.Fprintf(&text, "write-id = %s\nrecent-write-ids = %s\n", c.writeIDs[0], strings.Join(c.writeIDs, ","))
+	}
+	for _, s := range c.Services() {
+		fmt.Fprintf(&text, "\n[%s %s]\n", kindService, s.ID)
+		for i, value := range s.values() {
+			fmt.Fprintf(&text, "%s = %s\n", serviceKeys[i], value)
+		}
+	}
+	for _, zone := range c.ZonesOut() {
+		fmt.Fprintf(&text, "\n[%s %s]\nstate = out\n", kindZone, zone)
+	}
+	for _, instance := range c.InstancesOut() {
+		fmt.Fprintf(&text, "\n[%s %s]\nstate = out\n", kindInstance, instance)
+	}
+	return text.String()
+}
+
+// values returns the text of every key in the order of serviceKeys.
+func (s Service) values() []string {
+	return []string{
+		s.Owner, string(s.Application), s.Class.String(), strconv.FormatBool(s.Idempotent),
+		strconv.Itoa(s.Slots), strconv.Itoa(s.Connections), s.ConnectCost.String(), s.Deadline.String(),
+		number(s.CoverageFloor), s.BelowFloor.String(), s.LatencyObjective.String(), number(s.ObjectivePercent),
+	}
+}
+
+func number(value float64) string {
+	return strconv.FormatFloat(value, 'g', -1, 64)
+}
+
+// ZonesOut returns the zones that are out in ascending order.
+func (c Catalogue) ZonesOut() []fleet.ZoneID {
+	return slices.Sorted(maps.Keys(c.zonesOut))
+}
+
+// InstancesOut returns the instances that are out in ascending order.
+func (c Catalogue) InstancesOut() []fleet.InstanceID {
+	return slices.Sorted(maps.Keys(c.instancesOut))
+}
--- /dev/null
+++ b/internal/command/apply.go
@@ -0,0 +1,68 @@
+package command
+
+import (
+	"context"
+
+	"github.com/medlarlatch/medlarlatch/internal/catalogue"
+	"github.com/medlarlatch/medlarlatch/internal/configuration"
+)
+
+var applyVerb = verb{
+	name:      "apply",
+	summary:   "replaces the catalogue in the platform's store",
+	arguments: "FILE [--wait] [flags]",
+	example:   "medlarlatch apply --settings examples/paddlemark/settings-entry-1.ini --wait examples/paddlemark/catalogue.ini",
+	options:   func() runner { return &applyOptions{} },
+}
+
+type applyOptions struct {
+	access
+	Wait bool `long:"wait" description:"wait until every entry instance has the change in force"`
+}
+
+func (a *applyOptions) run(ctx context.Context, environment Environment, arguments []string) error {
+	if len(arguments) != 1 {
+		return usageError("apply takes one FILE")
+	}
+	proposed, err := readCatalogue(environment, arguments[0])
+	if err != nil {
+		return err
+	}
+	o, err := a.open(environment)
+	if err != nil {
+		return err
+	}
+	bounded, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	return o.change(bounded, replacement(proposed), a.Wait)
+}
+
+// replacement returns the edit that puts a file in the place of the store's document. A file that get
+// wrote carries a write id and stands for the whole document. Any other file does not bring back zones
+// and instances that are out, because its author may not have known of them.
+func replacement(proposed catalogue.Catalogue) configuration.Edit {
+	edit := configuration.Edit{Apply: func(current catalogue.Catalogue) (catalogue.Catalogue, error) {
+		changed := proposed
+		for _, zone := range current.ZonesOut() {
+			changed = changed.WithZoneOut(zone, true)
+		}
+		for _, instance := range current.InstancesOut() {
+			changed = changed.WithInstanceOut(instance, true)
+		}
+		return changed, nil
+	}}
+	if ids := proposed.WriteIDs(); len(ids) > 0 {
+		edit.Base = ids[0]
+		edit.Apply = func(catalogue.Catalogue) (catalogue.Catalogue, error) { return proposed, nil }
+	}
+	return edit
+}
+
+func readCatalogue(environment Environment, file string) (catalogue.Catalogue, error) {
+	text, err := environment.ReadFile(file)
+	if err != nil {
+		return catalogue.Catalogue{}, err
+	}
+	parsed, faults := catalogue.Parse(file, string(text))
+	return parsed, faults.Err()
+}
--- /dev/null
+++ b/internal/command/check.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/medlarlatch/medlarlatch/internal/catalogue"
+	"github.com/medlarlatch/medlarlatch/internal/document"
+	"github.com/medlarlatch/medlarlatch/internal/settings"
+)
+
+var checkVerb = verb{
+	name:      "check",
+	summary:   "checks settings and catalogues, offline, and prints every fault",
+	arguments: "[--settings FILE] [--catalogue FILE] [--json]",
+	example:   "medlarlatch check --catalogue examples/paddlemark/catalogue.ini",
+	options:   func() runner { return &checkOptions{} },
+}
+
+type checkOptions struct {
+	Settings  []string `long:"settings" value-name:"FILE" description:"process settings; may be repeated"`
+	Catalogue []string `long:"catalogue" value-name:"FILE" description:"catalogue; may be repeated"`
+	JSON      bool     `long:"json" description:"write JSON"`
+}
+
+func (c *checkOptions) run(_ context.Context, environment Environment, arguments []string) error {
+	if len(arguments) > 0 || len(c.Settings)+len(c.Catalogue) == 0 {
+		return usageError("check takes --settings FILE, --catalogue FILE or both")
+	}
+	faults := document.Faults{}
+	for _, file := range c.Settings {
+		text, err := environment.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		_, found := settings.Parse(file, string(text))
+		faults = append(faults, found...)
+	}
+	for _, file := range c.Catalogue {
+		text, err := environment.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		_, found := catalogue.Parse(file, string(text))
+		faults = append(faults, found...)
+	}
+	if c.JSON {
+		if err := printJSON(environment.Output, map[string]any{"faults": faults}); err != nil {
+			return err
+		}
+		if len(faults) > 0 {
+			return coded(exitInvalid, "%d faults", len(faults))
+		}
+		return nil
+	}
+	if err := faults.Err(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(environment.Output, "no faults in %d files\n", len(c.Settings)+len(c.Catalogue))
+	return err
+}
--- /dev/null
+++ b/internal/command/get.go
@@ -0,0 +1,43 @@
+package command
+
+import (
+	"context"
+	"fmt"
+)
+
+var getVerb = verb{
+	name:      "get",
+	summary:   "prints the catalogue in the platform's store, for editing and apply",
+	arguments: "[flags]",
+	example:   "medlarlatch get --settings examples/paddlemark/settings-entry-1.ini",
+	options:   func() runner { return &getOptions{} },
+}
+
+type getOptions struct {
+	access
+}
+
+func (g *getOptions) run(ctx context.Context, environment Environment, arguments []string) error {
+	if len(arguments) > 0 {
+		return usageError("get takes no arguments")
+	}
+	o, err := g.open(environment)
+	if err != nil {
+		return err
+	}
+	editor, err := o.editor()
+	if err != nil {
+		return err
+	}
+	bounded, cancel := context.WithTimeout(ctx, g.Timeout)
+	defer cancel()
+	found, revision, err := editor.Read(bounded)
+	if err != nil {
+		return err
+	}
+	if g.JSON {
+		return printJSON(environment.Output, map[string]any{"revision": revision, "catalogue": found.Format()})
+	}
+	_, err = fmt.Fprintf(environment.Output, "; revision %d\n%s", revision, found.Format())
+	return err
+}
--- /dev/null
+++ b/internal/configuration/spreader.go
@@ -0,0 +1,225 @@
+package configuration
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+)
+
+const (
+	// watchWait is how long a long poll waits; a watcher makes two calls a minute when nothing changes.
+	watchWait = 30 * time.Second
+	// callTimeout bounds a call to a peer, and the store's part of the first round.
+	callTimeout = 800 * time.Millisecond
+	// pullInterval is the time between rounds that ask peers, so that a lost notification is made good
+	// well within the 5 s target even if the first peer that is asked does not answer.
+	pullInterval = time.Second
+	// watchBackoffLeast and watchBackoffMost bound the pause after a failed watch. The longest keeps
+	// the end of an outage to adoption within the 5 s target.
+	watchBackoffLeast = 100 * time.Millisecond
+	watchBackoffMost  = 2 * time.Second
+)
+
+// Guide gives the current plan; it is asked before each round.
+type Guide interface {
+	Plan() Plan
+}
+
+// Peers reaches the other entry instances.
+type Peers interface {
+	// Tell says which revisions this instance has (configuration.changed).
+	Tell(ctx context.Context, peer fleet.InstanceID, revisions Revisions) error
+	// Ask returns the peer's documents that are newer than the known ones (configuration.get).
+	Ask(ctx context.Context, peer fleet.InstanceID, known Revisions) ([]Document, error)
+}
+
+// Spreader keeps a Holder up to date from the store and from peers, and passes changes on.
+type Spreader struct {
+	holder *Holder
+	store  Store
+	peers  Peers
+	guide  Guide
+	random *rand.Rand
+
+	started    chan struct{}
+	heard      chan fleet.InstanceID
+	storeAlive atomic.Bool
+}
+
+// NewSpreader returns a spreader that does nothing until Run.
+func NewSpreader(holder *Holder, store Store, peers Peers, guide Guide, random *rand.Rand) *Spreader {
+	return &Spreader{
+		holder: holder, store: store, peers: peers, guide: guide, random: random,
+		started: make(chan struct{}), heard: make(chan fleet.InstanceID, 16),
+	}
+}
+
+// Ready tells whether the first round has ended and a configuration is known. The first round asks the
+// store and the peers and adopts the newest answer: a store that lags, or a peer that was cut off, can
+// then not put a restarted instance behind what the others can tell it.
+func (s *Spreader) Ready() bool {
+	select {
+	case <-s.started:
+		return s.holder.Current() != nil
+	default:
+		return false
+	}
+}
+
+// StoreAlive tells whether the last watch of the store succeeded; false where this instance does not watch.
+func (s *Spreader) StoreAlive() bool {
+	return s.storeAlive.Load()
+}
+
+// Heard notes the revisions that a peer has, from configuration.changed or a heartbeat.
+func (s *Spreader) Heard(peer fleet.InstanceID, revisions Revisions) {
+	if !revisions.Exceeds(s.holder.Revisions()) {
+		return
+	}
+	select {
+	case s.heard <- peer:
+	default:
+		// The rounds that ask peers make up for it.
+	}
+}
+
+// Run works until the context ends.
+func (s *Spreader) Run(ctx context.Context) {
+	s.firstRound(ctx)
+	close(s.started)
+	var group sync.WaitGroup
+	group.Go(func() { s.watch(ctx) })
+	group.Go(func() { s.pull(ctx) })
+	group.Go(func() { s.tell(ctx) })
+	group.Wait()
+}
+
+func (s *Spreader) firstRound(ctx context.Context) {
+	plan := s.guide.Plan()
+	var group sync.WaitGroup
+	group.Go(func() {
+		bounded, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if documents, err := s.store.Watch(bounded, Prefix, 0, 0); err == nil {
+			s.adopt(documents, Source{Origin: FromStore})
+		}
+	})
+	for _, peer := range append(append([]fleet.InstanceID(nil), plan.Near...), plan.Far...) {
+		group.Go(func() { s.ask(ctx, peer) })
+	}
+	group.Wait()
+}
+
+func (s *Spreader) adopt(documents []Document, source Source) {
+	for _, document := range documents {
+		adopted, err := s.holder.Adopt(document, source)
+		if err != nil {
+			klog.ErrorS(err, "Document not adopted", "source", source.Origin, "peer", source.Peer)
+		} else if adopted {
+			klog.InfoS("Document adopted", "key", document.Key, "revision", document.Revision, "source", source.Origin, "peer", source.Peer)
+		}
+	}
+}
+
+func (s *Spreader) ask(ctx context.Context, peer fleet.InstanceID) {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if documents, err := s.peers.Ask(bounded, peer, s.holder.Revisions()); err == nil {
+		s.adopt(documents, Source{FromPeer, peer})
+	}
+}
+
+// watch polls the store while the plan says so. The position is the highest revision that the store
+// gave, not the store's own revision: a store that answers from an older state then cannot make the
+// watch skip a document.
+func (s *Spreader) watch(ctx context.Context) {
+	position := uint64(0)
+	backoff := watchBackoffLeast
+	for ctx.Err() == nil {
+		if !s.guide.Plan().Watch {
+			s.storeAlive.Store(false)
+			if sleep(ctx, pullInterval) != nil {
+				return
+			}
+			continue
+		}
+		// The first call after a failure asks for an immediate answer, so that StoreAlive turns true at
+		// the end of an outage and not at the end of a long poll.
+		wait := watchWait
+		if !s.storeAlive.Load() {
+			wait = 0
+		}
+		bounded, cancel := context.WithTimeout(ctx, wait+callTimeout)
+		documents, err := s.store.Watch(bounded, Prefix, position, wait)
+		cancel()
+		s.storeAlive.Store(err == nil)
+		if err != nil {
+			if sleep(ctx, backoff/2+time.Duration(s.random.Int64N(int64(backoff)))) != nil {
+				return
+			}
+			backoff = min(2*backoff, watchBackoffMost)
+			continue
+		}
+		backoff = watchBackoffLeast
+		for _, document := range documents {
+			position = max(position, document.Revision)
+		}
+		s.adopt(documents, Source{Origin: FromStore})
+	}
+}
+
+// pull asks a watcher of the own zone and one of the others in each round, in turn, and at once a peer
+// that said that it has something newer.
+func (s *Spreader) pull(ctx context.Context) {
+	ticker := time.NewTicker(pullInterval)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case peer := <-s.heard:
+			s.ask(ctx, peer)
+			continue
+		case <-ticker.C:
+		}
+		plan := s.guide.Plan()
+		var group sync.WaitGroup
+		for _, sources := range [][]fleet.InstanceID{plan.Near, plan.Far} {
+			if len(sources) > 0 {
+				peer := sources[round%len(sources)]
+				group.Go(func() { s.ask(ctx, peer) })
+			}
+		}
+		group.Wait()
+	}
+}
+
+// tell passes every change on. Only watchers have an audience.
+func (s *Spreader) tell(ctx context.Context) {
+	for {
+		changed := s.holder.Changed()
+		revisions := s.holder.Revisions()
+		for _, peer := range s.guide.Plan().Audience {
+			if len(revisions) == 0 {
+				break
+			}
+			go func() {
+				bounded, cancel := context.WithTimeout(ctx, callTimeout)
+				defer cancel()
+				// A peer that is not told asks within a round.
+				_ = s.peers.Tell(bounded, peer, revisions)
+			}()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/instances.go
@@ -0,0 +1,95 @@
+package platform
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/medlarlatch/medlarlatch/internal/document"
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+)
+
+// Kinds and states of the instance list.
+const (
+	KindEntry         = "entry"
+	KindBackendServer = "backend-server"
+	StateLive         = "live"
+	StateLeaving      = "leaving"
+)
+
+// Instance is one line of the instance list as its protocol has it.
+type Instance struct {
+	ID     string `json:"id"`
+	Kind   string `json:"kind"`
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
+	// Address is IP:port of a backend server.
+	Address string `json:"address,omitempty"`
+	// Peers and Operators are IP:port of an entry instance.
+	Peers     string `json:"peers,omitempty"`
+	Operators string `json:"operators,omitempty"`
+	// Service is the service of a backend server.
+	Service string `json:"service,omitempty"`
+	State   string `json:"state"`
+}
+
+// InstanceList is the answer of GET /v1/instances.
+type InstanceList struct {
+	Instances []Instance `json:"instances"`
+}
+
+// Instances is the adapter of the instance list.
+type Instances struct {
+	caller
+}
+
+// NewInstances returns an adapter of the instance list at the base URL.
+func NewInstances(base string, options Options) *Instances {
+	return &Instances{newCaller(base, options)}
+}
+
+// List returns the listed entry instances and backend servers. Any line that cannot be used makes the
+// whole list unusable: half a list would look like a fleet that lost instances.
+func (i *Instances) List(ctx context.Context) ([]fleet.Entry, []fleet.Server, error) {
+	var list InstanceList
+	if _, err := i.read(ctx, "instances", "/v1/instances", i.options.Timeout, &list); err != nil {
+		return nil, nil, err
+	}
+	return list.Split()
+}
+
+// Split checks the list and divides it by kind.
+func (l InstanceList) Split() ([]fleet.Entry, []fleet.Server, error) {
+	var entries []fleet.Entry
+	var servers []fleet.Server
+	seen := make(map[string]bool)
+	for _, line := range l.Instances {
+		if !document.IsName(line.ID) || !document.IsName(line.Zone) || seen[line.Kind+"/"+line.ID] {
+			return nil, nil, badReply("instance %q in zone %q is not valid or occurs twice", line.ID, line.Zone)
+		}
+		seen[line.Kind+"/"+line.ID] = true
+		leaving := line.State == StateLeaving
+		if !leaving && line.State != StateLive {
+			return nil, nil, badReply("instance %q has the unknown state %q", line.ID, line.State)
+		}
+		switch {
+		case line.Kind == KindEntry && isAddress(line.Peers) && isAddress(line.Operators):
+			entries = append(entries, fleet.Entry{
+				ID: fleet.InstanceID(line.ID), Zone: fleet.ZoneID(line.Zone), Region: fleet.RegionID(line.Region),
+				Peers: line.Peers, Operators: line.Operators, Leaving: leaving,
+			})
+		case line.Kind == KindBackendServer && isAddress(line.Address) && document.IsName(line.Service):
+			servers = append(servers, fleet.Server{
+				ID: fleet.ServerID(line.ID), Service: fleet.ServiceID(line.Service), Zone: fleet.ZoneID(line.Zone),
+				Region: fleet.RegionID(line.Region), Address: line.Address, Leaving: leaving,
+			})
+		default:
+			return nil, nil, badReply("instance %q of kind %q has no valid address or service", line.ID, line.Kind)
+		}
+	}
+	return entries, servers, nil
+}
+
+func isAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
--- /dev/null
+++ b/internal/platform/store.go
@@ -0,0 +1,136 @@
+// Package platform reaches the platform's key-value store and its instance list over net/http.
+//
+// Each adapter owns its counters of calls. Calls are bounded in time and size; reads are repeated after
+// a pause with jitter, a write is never repeated here, because only its caller can tell whether that is
+// right. Nothing here decides what a document means.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/configuration"
+	"github.com/medlarlatch/medlarlatch/internal/document"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+// Entry is a key of the store as its protocol has it.
+type Entry struct {
+	Key      string `json:"key"`
+	Value    string `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+// Changes is the answer to a watch.
+type Changes struct {
+	Entries []Entry `json:"entries"`
+}
+
+// Written is the answer to a write and the body of a conflict.
+type Written struct {
+	Revision uint64 `json:"revision"`
+}
+
+// Store is the adapter of the key-value store. It implements configuration.Store.
+type Store struct {
+	caller
+}
+
+var _ configuration.Store = (*Store)(nil)
+
+// NewStore returns an adapter of the store at the base URL.
+func NewStore(base string, options Options) *Store {
+	return &Store{newCaller(base, options)}
+}
+
+// Get implements configuration.Store.
+func (s *Store) Get(ctx context.Context, key string) (configuration.Document, error) {
+	var entry Entry
+	status, err := s.read(ctx, "get", "/v1/kv/"+url.PathEscape(key), s.options.Timeout, &entry)
+	if status == http.StatusNotFound {
+		return configuration.Document{Key: key}, nil
+	}
+	if err != nil {
+		return configuration.Document{}, err
+	}
+	if entry.Key != key || entry.Revision == 0 {
+		return configuration.Document{}, badReply("asked for key %q, got %q at revision %d", key, entry.Key, entry.Revision)
+	}
+	return entry.document(), nil
+}
+
+func (e Entry) document() configuration.Document {
+	return configuration.Document{Key: e.Key, Revision: e.Revision, Text: []byte(e.Value)}
+}
+
+// Watch implements configuration.Store. It is one call to the store, however long it waits.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]configuration.Document, error) {
+	query := url.Values{
+		"prefix":      {prefix},
+		"after":       {strconv.FormatUint(after, 10)},
+		"wait-millis": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	var changes Changes
+	if _, err := s.once(ctx, "watch", "/v1/watch?"+query.Encode(), wait+s.options.Timeout, &changes); err != nil {
+		return nil, err
+	}
+	documents := make([]configuration.Document, 0, len(changes.Entries))
+	last := after
+	for _, entry := range changes.Entries {
+		if entry.Revision <= last {
+			return nil, badReply("revision %d after %d in a watch", entry.Revision, last)
+		}
+		last = entry.Revision
+		documents = append(documents, entry.document())
+	}
+	return documents, nil
+}
+
+// CompareAndSwap implements configuration.Store. It is sent once.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, text []byte, base uint64) (uint64, error) {
+	if len(text) > document.MaxBytes {
+		return 0, verdict.New(verdict.NotRun, verdict.InvalidRequest, "the value has %d bytes, the store takes %d", len(text), document.MaxBytes)
+	}
+	bounded, cancel := context.WithTimeout(ctx, s.options.Timeout)
+	defer cancel()
+	address := s.base + "/v1/kv/" + url.PathEscape(key) + "?revision=" + strconv.FormatUint(base, 10)
+	request, err := http.NewRequestWithContext(bounded, http.MethodPut, address, bytes.NewReader(text))
+	if err != nil {
+		return 0, verdict.New(verdict.NotRun, verdict.InvalidRequest, "%v", err)
+	}
+	// Without GetBody net/http cannot send the body a second time on its own.
+	request.GetBody = nil
+	status, body, err := s.send("put", request)
+	if err != nil {
+		return 0, err
+	}
+	var written Written
+	switch {
+	case status == http.StatusConflict:
+		// A conflict without a readable body still says that the write did not take effect.
+		_ = json.Unmarshal(body, &written)
+		return 0, &configuration.ConflictError{Key: key, Base: base, Current: written.Revision}
+	case status >= 400 && status < 500:
+		return 0, verdict.New(verdict.NotRun, verdict.InvalidRequest, "the store answered %d to a write", status)
+	case status != http.StatusOK:
+		return 0, verdict.New(verdict.MayHaveRun, verdict.ServerError, "the store answered %d to a write", status)
+	}
+	if err := json.Unmarshal(body, &written); err != nil || written.Revision <= base {
+		return 0, verdict.New(verdict.MayHaveRun, verdict.BadAnswer, "the store's answer to a write at revision %d cannot be used: %q", base, shortened(body))
+	}
+	return written.Revision, nil
+}
+
+func badReply(format string, args ...any) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.BadAnswer, "the platform's answer cannot be used: %s", fmt.Sprintf(format, args...))
+}
+
+func shortened(body []byte) []byte {
+	return body[:min(len(body), 80)]
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,161 @@
+// Package settings reads the INI settings of one process.
+//
+// Settings is an immutable value. Parse gives defaults, checks every key and reports all faults
+// together; it reads no file, and keys and certificates are never part of a fault.
+package settings
+
+import (
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/document"
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+)
+
+// Settings is what one process is told at its start.
+type Settings struct {
+	Instance fleet.InstanceID
+	Zone     fleet.ZoneID
+	Region   fleet.RegionID
+	// Seed makes the random decisions of the process repeatable; 0 stands for a new seed at each start.
+	Seed uint64
+
+	// Callers, Operators and Peers are the addresses, IP:port, of the three listeners.
+	Callers, Operators, Peers string
+
+	// Store and Instances are the base URLs of the platform; Timeout bounds each call to it.
+	Store, Instances string
+	Timeout          time.Duration
+
+	// PeerKey is shared by all entry instances; OperatorKey opens the operators' endpoints.
+	PeerKey, OperatorKey string
+
+	// Certificate, PrivateKey and Authority are PEM files; all are empty without TLS between peers.
+	Certificate, PrivateKey, Authority string
+
+	// BalancerLag is the time for which the load balancer goes on sending to a leaving instance.
+	BalancerLag time.Duration
+	// LogLevel is klog's verbosity.
+	LogLevel int
+}
+
+// minKeyBytes is the shortest key: 16 characters of base64 carry 96 bits.
+const minKeyBytes = 16
+
+var known = map[string][]string{
+	"instance": {"name", "zone", "region", "seed"},
+	"listen":   {"callers", "operators", "peers"},
+	"platform": {"store", "instances", "timeout"},
+	"keys":     {"peer-key", "operator-key"},
+	"tls":      {"certificate", "private-key", "authority"},
+	"shutdown": {"balancer-lag"},
+	"log":      {"level"},
+}
+
+const sectionsAllowed = "[instance], [listen], [platform], [keys], [tls], [shutdown], [log]"
+
+// Parse reads settings. With any fault the settings are zero.
+func Parse(file, text string) (Settings, document.Faults) {
+	reader := document.NewReader(file, text)
+	if len(text) > document.MaxBytes {
+		return Settings{}, reader.Faults()
+	}
+	var s Settings
+	s.readInstance(reader)
+	s.readPlatform(reader)
+	s.readSecrets(reader)
+	if shutdown := reader.Section("shutdown"); shutdown.Present("balancer-lag") {
+		s.BalancerLag = shutdown.Duration("balancer-lag", 0, 5*time.Minute)
+	} else {
+		s.BalancerLag = 5 * time.Second
+	}
+	if log := reader.Section("log"); log.Present("level") {
+		s.LogLevel = log.Integer("level", 0, 10)
+	}
+	for _, section := range reader.Sections() {
+		keys, ok := known[section.Name]
+		if !ok {
+			reader.Add(section.Name, "", "", "unknown section", sectionsAllowed)
+			continue
+		}
+		section.ReportUnknown(keys...)
+	}
+	if faults := reader.Faults(); len(faults) > 0 {
+		return Settings{}, faults
+	}
+	return s, nil
+}
+
+func (s *Settings) readInstance(reader *document.Reader) {
+	instance := reader.Section("instance")
+	s.Instance = fleet.InstanceID(instance.Key("name"))
+	s.Zone = fleet.ZoneID(instance.Key("zone"))
+	s.Region = fleet.RegionID(instance.Key("region"))
+	if instance.Present("seed") {
+		s.Seed = uint64(instance.Integer("seed", 0, 1<<62))
+	}
+	listen := reader.Section("listen")
+	s.Callers = listen.Address("callers")
+	s.Operators = listen.Address("operators")
+	s.Peers = listen.Address("peers")
+	if s.Callers != "" && (s.Callers == s.Operators || s.Callers == s.Peers) {
+		listen.Add("callers", "the address of another listener", "an address of its own")
+	}
+	if s.Operators != "" && s.Operators == s.Peers {
+		listen.Add("operators", "the address of another listener", "an address of its own")
+	}
+}
+
+func (s *Settings) readPlatform(reader *document.Reader) {
+	platform := reader.Section("platform")
+	s.Store = readURL(platform, "store")
+	s.Instances = readURL(platform, "instances")
+	s.Timeout = time.Second
+	if platform.Present("timeout") {
+		s.Timeout = platform.Duration("timeout", 10*time.Millisecond, 30*time.Second)
+	}
+}
+
+func readURL(section *document.Section, key string) string {
+	const allowed = "a URL with http or https and a host, such as http://10.0.0.2:2400"
+	text := section.Raw(key)
+	parsed, err := url.Parse(text)
+	switch {
+	case !section.Present(key):
+		section.Add(key, "the key is missing", allowed)
+	case err != nil || parsed.Host == "" || parsed.Scheme != "http" && parsed.Scheme != "https":
+		section.Add(key, "not a URL of the platform", allowed)
+	case parsed.RawQuery != "" || parsed.Fragment != "" || parsed.User != nil:
+		section.Add(key, "a URL with a query, a fragment or a user", allowed)
+	}
+	return text
+}
+
+func (s *Settings) readSecrets(reader *document.Reader) {
+	keys := reader.Section("keys")
+	s.PeerKey = readSecret(reader, keys, "peer-key")
+	s.OperatorKey = readSecret(reader, keys, "operator-key")
+	if s.PeerKey != "" && s.PeerKey == s.OperatorKey {
+		reader.Add("keys", "operator-key", "", "the same as peer-key", "a key of its own")
+	}
+	tls := reader.Section("tls")
+	s.Certificate, s.PrivateKey, s.Authority = tls.Raw("certificate"), tls.Raw("private-key"), tls.Raw("authority")
+	set := 0
+	for _, file := range []string{s.Certificate, s.PrivateKey, s.Authority} {
+		if file != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 3 {
+		reader.Add("tls", "", "", fmt.Sprintf("%d of 3 files are set", set), "certificate, private-key and authority, or none")
+	}
+}
+
+func readSecret(reader *document.Reader, section *document.Section, key string) string {
+	secret := section.Raw(key)
+	if len(secret) < minKeyBytes || len(secret) > 256 {
+		reader.Add(section.Name, key, "", fmt.Sprintf("the key has %d characters", len(secret)), fmt.Sprintf("%d to 256 characters", minKeyBytes))
+	}
+	return secret
+}
