--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -110,6 +110,8 @@
 	if m.completed.IsZero() || now.Sub(m.completed) >= FenceAfter {
 		m.unfenced = now
 		for _, p := range m.peers {
+			// Silence counts from here: while this process was paused it could not hear anybody.
+			p.answered, p.since = time.Time{}, time.Time{}
 			p.acknowledged, p.granted = false, false
 		}
 	}
@@ -126,13 +128,10 @@
 func (m *Membership) HeartbeatReplied(now time.Time, reply Reply) Change {
 	change := m.hear(now, reply.From)
 	p := m.peer(reply.From.ID)
-	if reply.Sent.After(p.answered) {
-		p.answered = reply.Sent
-	}
-	if reply.Sent.After(p.outcome) {
-		p.outcome = reply.Sent
-	}
+	// An answer to a heartbeat from before a pause proves nothing about the time since.
 	if !reply.Sent.Before(m.unfenced) {
+		p.answered = later(p.answered, reply.Sent)
+		p.outcome = later(p.outcome, reply.Sent)
 		p.acknowledged = reply.Acknowledged
 		p.granted = p.granted || reply.Acknowledged
 	}
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -146,3 +146,19 @@
 	}
 	is.True(moved > 150 && moved < 350) // a quarter of the servers, evenly spread
 }
+
+// Guards against an instance that has just started and claims servers from an owner that does not know
+// of it yet and therefore uses all slots.
+func TestStartingInstanceWaitsForTheOthers(t *testing.T) {
+	is := is.New(t)
+	entries := []fleet.Entry{{ID: "a", Zone: "z"}, {ID: "b", Zone: "z"}}
+	view := fleet.NewView(entries, nil)
+	decide := func(contact fleet.Contact) Decision {
+		contacts := map[fleet.InstanceID]fleet.Contact{"b": contact}
+		reach := fleet.NewReachability(entries[0], view, contacts, nil, time.Time{})
+		return Decide(reach, []fleet.InstanceID{"a", "b"})
+	}
+	is.True(!decide(fleet.Contact{Reachable: true}).Claimed)
+	is.Equal(decide(fleet.Contact{Reachable: true, Granted: true}), Decision{Owner: "a", Claimed: true, Unreachable: 1})
+	is.Equal(decide(fleet.Contact{Reachable: true, Granted: true, Acknowledged: true}), Decision{Owner: "a", Claimed: true})
+}
