Bound hedges in every minute and measure the decision path

Ruled out: a smaller share in the counts alone. It does not bound a minute that begins after a busy time. Change: a credit of one hedge per 22 requests, at most 2 kept, next to the counts. Table updates keep the rankings of untouched zones.

--- a/internal/replica/budget.go
+++ b/internal/replica/budget.go
@@ -7,6 +7,11 @@
 	hedgeWindow = 60
 	// hedgeDivisor makes hedges less than one in twenty requests.
 	hedgeDivisor = 20
+	// hedgeCost is the number of requests that earn one hedge, and hedgeCredit the most that are kept. The
+	// counts of the last minute alone would let a minute that begins after a busy time exceed the
+	// share, because hedges earned before it fall into it; the credit bounds that to 2 hedges.
+	hedgeCost   = 22
+	hedgeCredit = 2 * hedgeCost
 )
 
 // budget counts requests and hedges of the last minute in one bucket per second.
@@ -14,6 +19,7 @@
 	requests, hedges       [hedgeWindow]uint32
 	allRequests, allHedges uint32
 	second                 int64
+	credit                 uint32
 	start                  time.Time
 }
 
@@ -37,7 +43,7 @@
 // mayHedge tells whether hedges stay under the budget with one more.
 func (b *budget) mayHedge(now time.Time) bool {
 	b.advance(now)
-	return (b.allHedges+1)*hedgeDivisor < b.allRequests+1
+	return b.credit >= hedgeCost && (b.allHedges+1)*hedgeDivisor < b.allRequests+1
 }
 
 // count records a request that was admitted.
@@ -48,7 +54,10 @@
 	if hedge {
 		b.hedges[at]++
 		b.allHedges++
+		b.credit -= hedgeCost
+		return
 	}
+	b.credit = min(b.credit+1, hedgeCredit)
 }
 
 // share returns hedges over requests in the last minute.
--- a/internal/replica/owner_test.go
+++ b/internal/replica/owner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -103,13 +104,32 @@
 func (r *rig) owner(id fleet.InstanceID) *Owner {
 	return New(Dependencies{
 		Self: id, Transport: r, Random: rand.NewPCG(1, 2),
-		Claim:     func(fleet.ServerID) (int, int, bool) { return r.slots, 10, r.slots > 0 },
-		Server:    func(id fleet.ServerID) (fleet.Server, bool) { s, ok := r.listed[id]; return s, ok },
-		Fresh:     func() bool { return !r.stale },
-		Catalogue: func() catalogue.Catalogue { return r.catalogue },
+		Claim: func(fleet.ServerID) (int, int, bool) {
+			slots := read(r, func() int { return r.slots })
+			return slots, 10, slots > 0
+		},
+		Server: func(id fleet.ServerID) (fleet.Server, bool) {
+			server := read(r, func() fleet.Server { return r.listed[id] })
+			return server, server.ID != ""
+		},
+		Fresh:     func() bool { return !read(r, func() bool { return r.stale }) },
+		Catalogue: func() catalogue.Catalogue { return read(r, func() catalogue.Catalogue { return r.catalogue }) },
 	})
 }
 
+func read[T any](r *rig, value func() T) T {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return value()
+}
+
+// change alters what the owner's dependencies return.
+func (r *rig) change(change func(*rig)) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	change(r)
+}
+
 // send starts count parts at a server and returns their first attempt.
 func (r *rig) send(server fleet.ServerID, count int, within time.Duration, edit func(*query.Part)) uint64 {
 	var parts []query.Part
@@ -130,20 +150,26 @@
 	return first
 }
 
-// reasons returns how many results had each reason since the last call, after all parts have ended.
-func (r *rig) reasons() map[verdict.Reason]int {
+// take returns the results since the last call, when no goroutine can run on.
+func (r *rig) take() []query.Result {
 	synctest.Wait()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	taken := r.results
+	r.results = nil
+	return taken
+}
+
+// reasons returns how many results had each reason since the last call.
+func (r *rig) reasons() map[verdict.Reason]int {
 	counts := map[verdict.Reason]int{}
-	for _, result := range r.results {
+	for _, result := range r.take() {
 		if result.Err == nil {
 			counts[verdict.None]++
 		} else {
 			counts[result.Err.Reason]++
 		}
 	}
-	r.results = nil
 	return counts
 }
 
@@ -244,20 +270,67 @@
 		"not the owner":        {func(r *rig) { r.slots = 0 }, verdict.NotOwner},
 	}
 	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				r := newRig(1, 2)
-				r.warm("s0")
-				r.servers["s0"].set(func(*backend) {})
-				r.send("s0", 5, time.Second, nil) // two run and three are queued
-				synctest.Wait()
-				test.change(r)
-				r.Refresh()
-				time.Sleep(time.Second)
-				r.send("s0", 4, time.Second, nil)
-				is.Equal(r.reasons(), map[verdict.Reason]int{verdict.None: 2, test.reason: 7})
+		for _, refresh := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, ", refresh ", refresh), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					r := newRig(1, 2)
+					r.warm("s0")
+					r.servers["s0"].set(func(*backend) {})
+					r.send("s0", 5, time.Second, nil) // two run and three are queued
+					synctest.Wait()
+					r.change(test.change)
+					if refresh {
+						r.Refresh()
+					}
+					time.Sleep(time.Second)
+					r.send("s0", 4, time.Second, nil)
+					is.Equal(r.reasons(), map[verdict.Reason]int{verdict.None: 2, test.reason: 7})
+				})
 			})
-		})
+		}
 	}
 }
+
+// Guards against a write after a pause that began when all other checks had passed.
+func TestFenceIsCheckedLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(1, 2)
+		var checks atomic.Int32
+		r.Fresh = func() bool { return checks.Add(1) <= 2 }
+		r.send("s0", 1, time.Second, nil)
+		is.Equal(r.reasons(), map[verdict.Reason]int{verdict.Fenced: 1})
+		_, calls := r.servers["s0"].seen()
+		is.Equal(calls, 0)
+		is.Equal(r.Servers()[0].InUse, 0)
+	})
+}
+
+// Guards against a zone that comes back to servers which were warm before it was taken out: they may have
+// restarted meanwhile, and all of them get load at the same moment.
+func TestReturningZoneIsARamp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(10, 4)
+		for id := range r.servers {
+			r.warm(id)
+		}
+		r.catalogue = r.catalogue.WithZoneOut("z", true)
+		r.Refresh()
+		time.Sleep(time.Minute)
+		r.catalogue = r.catalogue.WithZoneOut("z", false)
+		r.Refresh()
+		for id, server := range r.servers {
+			server.set(func(*backend) {})
+			r.send(id, 8, time.Second, nil)
+		}
+		time.Sleep(9 * time.Millisecond)
+		for _, server := range r.servers {
+			peak, _ := server.seen()
+			is.Equal(peak, 1)
+		}
+		time.Sleep(time.Second)
+		is.Equal(r.reasons(), map[verdict.Reason]int{verdict.None: 80})
+	})
+}
--- /dev/null
+++ b/internal/share/bench_test.go
@@ -0,0 +1,98 @@
+package share
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+)
+
+// sizes are servers and the entry instances that the target size has for them.
+var sizes = [][2]int{{1000, 118}, {5000, 590}, {15000, 1770}, {44000, 5200}}
+
+func largeFleet(servers, entries int) (*fleet.View, []fleet.Server, []fleet.Entry) {
+	place := func(i int) (fleet.ZoneID, fleet.RegionID) {
+		return fleet.ZoneID(fmt.Sprint("zone-", i%12)), fleet.RegionID(fmt.Sprint("region-", i%4))
+	}
+	allServers, allEntries := make([]fleet.Server, servers), make([]fleet.Entry, entries)
+	for i := range allServers {
+		zone, region := place(i)
+		allServers[i] = fleet.Server{ID: fleet.ServerID(fmt.Sprint("server-", i)), Service: fleet.ServiceID(fmt.Sprint("service-", i/2)), Zone: zone, Region: region, Address: fmt.Sprint("10.0.0.1:", i)}
+	}
+	for i := range allEntries {
+		zone, region := place(i)
+		allEntries[i] = fleet.Entry{ID: fleet.InstanceID(fmt.Sprint("entry-", i)), Zone: zone, Region: region}
+	}
+	return fleet.NewView(allEntries, allServers), allServers, allEntries
+}
+
+func heap() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+func reachOf(view *fleet.View, self fleet.Entry) *fleet.Reachability {
+	return fleet.NewReachability(self, view, nil, nil, time.Time{})
+}
+
+func BenchmarkRouteAndClaim(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size[0]), func(b *testing.B) {
+			_, servers, entries := largeFleet(size[0], size[1])
+			bare := heap()
+			view := fleet.NewView(entries, servers)
+			before := heap()
+			table := NewTable(reachOf(view, entries[0]), simLimits)
+			after := heap()
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				id := servers[i].ID
+				table.Route(id)
+				table.Claim(id)
+				i = (i + 7919) % len(servers)
+			}
+			b.ReportMetric(float64(before-bare)/float64(size[0]), "view-B/server")
+			b.ReportMetric(float64(after-before)/float64(size[0]), "table-B/server")
+			runtime.KeepAlive(view)
+			runtime.KeepAlive(entries)
+		})
+	}
+}
+
+// BenchmarkUpdate replaces the view and the table after a change of one server or one entry instance.
+func BenchmarkUpdate(b *testing.B) {
+	for _, size := range sizes {
+		view, servers, entries := largeFleet(size[0], size[1])
+		table := NewTable(reachOf(view, entries[0]), simLimits)
+		b.Run(fmt.Sprint("server/", size[0]), func(b *testing.B) {
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				server := servers[i%len(servers)]
+				server.Leaving = i%2 == 0
+				next := view.WithServer(server)
+				table.With(reachOf(next, entries[0]), fleet.Change{Servers: []fleet.ServerID{server.ID}}, simLimits)
+				i++
+			}
+		})
+		b.Run(fmt.Sprint("entry-gone/", size[0]), func(b *testing.B) {
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				id := entries[1+i%(len(entries)-1)].ID
+				table.With(reachOf(view.WithoutEntry(id), entries[0]), fleet.Change{Entries: []fleet.InstanceID{id}}, simLimits)
+				i++
+			}
+		})
+		b.Run(fmt.Sprint("full/", size[0]), func(b *testing.B) {
+			for b.Loop() {
+				NewTable(reachOf(view, entries[0]), simLimits)
+			}
+		})
+	}
+}
--- a/internal/share/table.go
+++ b/internal/share/table.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +19,8 @@
 	// zones holds the zone of each entry instance in the table's view; one that moves to another zone or
 	// goes touches the servers of its former zone as well.
 	zones fleet.PersistentMap[fleet.InstanceID, fleet.ZoneID]
+	// rankings holds the candidates of each zone, so that a changed server does not hash them again.
+	rankings map[fleet.ZoneID]ranking
 }
 
 type record struct {
@@ -50,6 +53,9 @@
 		return t
 	}
 	b := newBuilder(t, reach, limits)
+	if len(change.Entries) > 0 {
+		b.entriesChanged(change.Entries)
+	}
 	for _, id := range change.Servers {
 		b.replace(id)
 	}
@@ -58,9 +64,6 @@
 			b.replace(id)
 		}
 	}
-	if len(change.Entries) > 0 {
-		b.entriesChanged(change.Entries)
-	}
 	return b.table()
 }
 
@@ -117,13 +120,19 @@
 }
 
 func newBuilder(from *Table, reach *fleet.Reachability, limits Limits) *builder {
-	return &builder{
+	b := &builder{
 		reach: reach, limits: limits, edit: from.records.Edit(), zones: from.zones.Edit(),
-		rankings: make(map[fleet.ZoneID]ranking),
+		rankings: maps.Clone(from.rankings),
+	}
+	if b.rankings == nil {
+		b.rankings = make(map[fleet.ZoneID]ranking)
 	}
+	return b
 }
 
-func (b *builder) table() *Table { return &Table{records: b.edit.Map(), zones: b.zones.Map()} }
+func (b *builder) table() *Table {
+	return &Table{records: b.edit.Map(), zones: b.zones.Map(), rankings: b.rankings}
+}
 
 func (b *builder) ranking(zone fleet.ZoneID, region fleet.RegionID) ranking {
 	known, ok := b.rankings[zone]
@@ -167,6 +176,11 @@
 		hashes[i] = xxhash.Sum64String(string(id))
 	}
 	touched := b.moveEntries(changed)
+	for zone := range b.rankings {
+		if b.touches(zone, touched) {
+			delete(b.rankings, zone)
+		}
+	}
 	for _, zone := range b.reach.View().Zones() {
 		servers := b.reach.View().ServersIn(zone)
 		if len(servers) == 0 || !b.touches(zone, touched) {
