Check histories of queries, and admit by a bound that follows latency

Its limiter took the least latency as the unloaded one, which is far below the mean where service times vary, and its replica beliefs took late answers as new ones: a late answer of before a repartition made a replica lack the new version. Ruled out: a bound that drifts up under lasting load, because it ends at the deadline. Change: generated histories on fake time; answers count by the time their attempt was sent; a replica that has said nothing for 10 s is unknown again, and one query a second tries a newer version; hedges also go to replicas that were never heard; the limiter measures the unloaded latency every 10 s at a quarter of its bound.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -26,11 +26,14 @@
 	// tolerance is the latency over the unloaded latency up to which the bound may grow.
 	tolerance = 2.0
 	// window is the least number of ended queries between two changes of the bound.
-	window = 16
+	window = 32
 	// backoff shrinks the bound when backend servers refuse work as overloaded.
 	backoff = 0.9
-	// baselineDrift lets the unloaded latency follow a lasting change; it is per window.
-	baselineDrift = 1.01
+	// probeInterval is how often the unloaded latency is measured again under lasting load, and
+	// probeShare the share of the bound at which it is. The tolerated latency is twice the unloaded one,
+	// so that a quarter of the bound leaves no queue.
+	probeInterval = 10 * time.Second
+	probeShare    = 0.25
 	// leastRetryAfter keeps callers from coming back in a tight loop when queries are very short.
 	leastRetryAfter = 50 * time.Millisecond
 )
@@ -68,11 +71,15 @@
 	inFlight int
 	baseline float64 // unloaded latency in nanoseconds, 0 while unknown
 	typical  float64 // smoothed latency in nanoseconds
-	fastest  float64 // least latency in the window
-	total    float64
+	total    float64 // sum of the latencies in the window
 	ended    int
 	overload bool
 	full     bool
+	// probing is set while the unloaded latency is measured; probeFrom is when the queries of the
+	// larger bound had drained, zero before.
+	probing   bool
+	probeFrom time.Time
+	probed    time.Time
 }
 
 // New returns a limiter.
@@ -109,9 +116,10 @@
 				"%v left, queries take %v", left, time.Duration(l.baseline))
 		}
 		if float64(left) < l.typical {
+			l.full = true
 			return nil, l.refuse("%v left, queries take %v", left, time.Duration(l.typical))
 		}
-		if float64(l.inFlight) >= l.bound*share(class) {
+		if float64(l.inFlight) >= l.room()*share(class) {
 			l.full = true
 			return nil, l.refuse("%d queries in progress", l.inFlight)
 		}
@@ -120,6 +128,14 @@
 	return &Permit{limiter: l, started: now}, nil
 }
 
+// room is the bound in force.
+func (l *Limiter) room() float64 {
+	if l.probing {
+		return max(l.bound*probeShare, 1)
+	}
+	return l.bound
+}
+
 func (l *Limiter) refuse(format string, args ...any) *verdict.Error {
 	after := max(time.Duration(l.typical), leastRetryAfter)
 	return verdict.New(verdict.NotRun, verdict.Overloaded, format, args...).WithRetryAfter(after)
@@ -127,49 +143,70 @@
 
 // Done ends the query. Calls after the first do nothing.
 func (p *Permit) Done(outcome Outcome) {
-	p.once.Do(func() { p.limiter.end(time.Since(p.started), outcome) })
+	p.once.Do(func() { p.limiter.end(p.started, time.Now(), outcome) })
 }
 
-func (l *Limiter) end(latency time.Duration, outcome Outcome) {
+func (l *Limiter) end(started, now time.Time, outcome Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inFlight--
 	if outcome == Failed {
 		return
 	}
-	took := float64(latency)
+	took := float64(now.Sub(started))
 	if l.typical == 0 {
 		l.typical = took
 	}
 	l.typical += (took - l.typical) / 16
-	if outcome == Overloaded {
-		l.overload = true
-	} else if l.fastest == 0 || took < l.fastest {
-		l.fastest = took
+	if l.probing && !l.drained(started, now) {
+		return
 	}
+	l.overload = l.overload || outcome == Overloaded
 	l.total += took
 	l.ended++
-	if l.ended >= max(window, int(l.bound)/2) {
-		l.adapt()
+	switch {
+	case l.probing && l.ended >= window:
+		if !l.overload {
+			l.baseline = l.total / float64(l.ended)
+		}
+		l.probing, l.probed = false, now
+		l.reset()
+	case !l.probing && l.ended >= max(window, int(l.bound)/2):
+		l.adapt(now)
+		l.reset()
 	}
 }
 
-// adapt changes the bound by the ratio of the tolerated to the observed latency, plus a square-root
-// allowance that lets it grow while latency stays near the unloaded one.
-func (l *Limiter) adapt() {
-	if l.fastest > 0 {
-		if l.baseline == 0 || l.fastest < l.baseline {
-			l.baseline = l.fastest
-		} else {
-			l.baseline *= baselineDrift
+// drained tells whether a query that ended was started after those of the larger bound had ended.
+func (l *Limiter) drained(started, now time.Time) bool {
+	if l.probeFrom.IsZero() {
+		if float64(l.inFlight) <= l.room() {
+			l.probeFrom = now
 		}
+		return false
 	}
+	return !started.Before(l.probeFrom)
+}
+
+// adapt changes the bound by the ratio of the tolerated to the observed latency, plus a square-root
+// allowance that lets it grow while latency stays near the unloaded one.
+func (l *Limiter) adapt(now time.Time) {
 	observed := l.total / float64(l.ended)
 	switch {
 	case l.overload:
+		// Latency under overload says nothing about the unloaded one.
+	case l.baseline == 0:
+		l.baseline = observed
+	case observed < l.baseline:
+		// A part of the way, because the least of many noisy means is far below the true one.
+		l.baseline += (observed - l.baseline) / 4
+	case !l.full:
+		l.baseline += (observed - l.baseline) / 8
+	}
+	if l.overload {
 		l.bound *= backoff
-	case l.baseline > 0 && observed > 0:
-		gradient := min(1, max(0.5, tolerance*l.baseline/observed))
+	} else {
+		gradient := min(1, max(0.5, tolerance*l.baseline/max(observed, 1)))
 		next := l.bound*gradient + math.Sqrt(l.bound)
 		// A bound that was not reached is no evidence that a larger one is safe.
 		if next < l.bound || l.full {
@@ -177,7 +214,16 @@
 		}
 	}
 	l.bound = min(max(l.bound, float64(l.limits.Min)), float64(l.limits.Max))
-	l.total, l.ended, l.fastest, l.overload, l.full = 0, 0, 0, false, false
+	if l.probed.IsZero() {
+		l.probed = now
+	}
+	if l.full && now.Sub(l.probed) >= probeInterval {
+		l.probing, l.probeFrom = true, time.Time{}
+	}
+}
+
+func (l *Limiter) reset() {
+	l.total, l.ended, l.overload, l.full = 0, 0, false, false
 }
 
 // State is what the limiter shows to operators.
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,134 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/medlarlatch/medlarlatch/internal/catalogue"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+const (
+	modelSlots    = 20
+	modelService  = 10 * time.Millisecond
+	modelDeadline = 100 * time.Millisecond
+	modelTime     = 25 * time.Second
+	modelSettle   = 5 * time.Second
+)
+
+// goodput plays callers at a multiple of the capacity against servers with a plain queue, and returns
+// the answers within the deadline per second, after the time in which the limiter settles.
+func goodput(t *testing.T, limiter *Limiter, multiple float64, took func() time.Duration) (perSecond float64, refused int) {
+	var in atomic.Int64
+	synctest.Test(t, func(t *testing.T) {
+		slots := make(chan struct{}, modelSlots)
+		capacity := float64(modelSlots) / modelService.Seconds()
+		gap := time.Duration(float64(time.Second) / (capacity * multiple))
+		began := time.Now()
+		for time.Since(began) < modelTime {
+			time.Sleep(gap)
+			deadline := time.Now().Add(modelDeadline)
+			permit, err := limiter.Admit(catalogue.Interactive, deadline)
+			if err != nil {
+				refused++
+				if err.Verdict != verdict.NotRun || err.RetryAfter <= 0 {
+					t.Errorf("refused with %v, retry after %v", err, err.RetryAfter)
+				}
+				continue
+			}
+			service := took()
+			go func() {
+				slots <- struct{}{}
+				time.Sleep(service)
+				<-slots
+				inTime := !time.Now().After(deadline)
+				if inTime && time.Since(began) > modelSettle && time.Since(began) <= modelTime {
+					in.Add(1)
+				}
+				outcome := Completed
+				if !inTime {
+					outcome = Overloaded
+				}
+				permit.Done(outcome)
+			}()
+		}
+		time.Sleep(time.Minute) // until the last query has ended
+	})
+	return float64(in.Load()) / (modelTime - modelSettle).Seconds(), refused
+}
+
+// Guards against a collapse of goodput under overload, where every query is served too late. The
+// limiter starts with a bound at which the queue alone takes five times the deadline.
+func TestGoodputUnderOverload(t *testing.T) {
+	draw := rand.New(rand.NewPCG(1, 2))
+	models := map[string]func() time.Duration{
+		"constant":    func() time.Duration { return modelService },
+		"exponential": func() time.Duration { return time.Duration(draw.ExpFloat64() * float64(modelService)) },
+	}
+	for name, took := range models {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			peak := 0.0
+			at := make(map[float64]float64)
+			for _, multiple := range []float64{0.5, 0.8, 0.95, 1, 2, 5} {
+				limiter := New(Limits{Min: 4, Initial: 1000, Max: 4096})
+				perSecond, refused := goodput(t, limiter, multiple, took)
+				at[multiple] = perSecond
+				peak = max(peak, perSecond)
+				t.Logf("load %.2f of capacity: goodput %.0f/s, %d refused, %+v", multiple, perSecond, refused, limiter.State())
+			}
+			is.True(peak >= 0.9*modelSlots/modelService.Seconds())
+			is.True(at[2] >= 0.9*peak)
+			is.True(at[5] >= 0.9*peak)
+		})
+	}
+}
+
+// Guards against a class that takes the room of a more urgent one.
+func TestClasses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		limiter := New(Limits{Min: 10, Initial: 10, Max: 10})
+		admitted := func(class catalogue.Class) int {
+			count := 0
+			for range 100 {
+				if _, err := limiter.Admit(class, time.Now().Add(time.Second)); err == nil {
+					count++
+				}
+			}
+			return count
+		}
+		is.Equal(admitted(catalogue.Batch), 5)
+		is.Equal(admitted(catalogue.Settlement), 4)
+		is.Equal(admitted(catalogue.Interactive), 1)
+	})
+}
+
+// Guards against starting work whose deadline cannot be met, and against a refusal of everything
+// after one slow period.
+func TestTimeLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		limiter := New(DefaultLimits())
+		for range 40 {
+			permit, err := limiter.Admit(catalogue.Interactive, time.Now().Add(time.Second))
+			is.True(err == nil)
+			time.Sleep(50 * time.Millisecond)
+			permit.Done(Completed)
+		}
+		first, err := limiter.Admit(catalogue.Interactive, time.Now().Add(10*time.Millisecond))
+		is.True(err == nil) // one at a time is always admitted
+		_, err = limiter.Admit(catalogue.Interactive, time.Now().Add(10*time.Millisecond))
+		is.Equal(err.Reason, verdict.DeadlineTooShort)
+		first.Done(Completed)
+		first.Done(Completed)
+		is.Equal(limiter.State().InFlight, 0)
+		_, err = limiter.Admit(catalogue.Interactive, time.Now())
+		is.Equal(err.Reason, verdict.DeadlinePassed)
+	})
+}
--- a/internal/query/choose.go
+++ b/internal/query/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/medlarlatch/medlarlatch/internal/snapshot"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
@@ -25,15 +26,16 @@
 
 // choose returns a usable replica of the service that is believed to hold the version and is not in
 // tried: the better of two that are drawn at random. A replica that has said nothing about versions
-// is taken only when none is known to hold it. A hedge goes to a replica that is warm and known.
-func (s *service) choose(version snapshot.Version, tried []*replicaState, hedge bool, draw *random, now int64) *replica {
-	if chosen := s.chooseAmong(version, snapshot.Holds, tried, hedge, draw, now); chosen != nil || hedge {
+// is taken only when none is known to hold it. A hedge goes to no replica that was last seen cold; its
+// owner decides whether it is warm.
+func (s *service) choose(version snapshot.Version, tried []*replicaState, hedge bool, draw *random, now time.Time) *replica {
+	if chosen := s.chooseAmong(version, snapshot.Holds, tried, hedge, draw, now); chosen != nil {
 		return chosen
 	}
-	return s.chooseAmong(version, snapshot.Unknown, tried, false, draw, now)
+	return s.chooseAmong(version, snapshot.Unknown, tried, hedge, draw, now)
 }
 
-func (s *service) chooseAmong(version snapshot.Version, belief snapshot.Belief, tried []*replicaState, hedge bool, draw *random, now int64) *replica {
+func (s *service) chooseAmong(version snapshot.Version, belief snapshot.Belief, tried []*replicaState, hedge bool, draw *random, now time.Time) *replica {
 	if len(s.replicas) == 0 {
 		return nil
 	}
@@ -52,13 +54,13 @@
 	return first
 }
 
-func (s *service) scan(start int, version snapshot.Version, belief snapshot.Belief, tried []*replicaState, hedge bool, now int64, except *replica) *replica {
+func (s *service) scan(start int, version snapshot.Version, belief snapshot.Belief, tried []*replicaState, hedge bool, now time.Time, except *replica) *replica {
 	for i := range s.replicas {
 		candidate := &s.replicas[(start+i)%len(s.replicas)]
 		switch {
 		case candidate == except,
 			candidate.state.leaving(now),
-			candidate.state.holding.Belief(version) != belief,
+			candidate.state.holding.Belief(version, now) != belief,
 			hedge && candidate.state.cold.Load(),
 			slices.Contains(tried, candidate.state):
 			continue
@@ -69,14 +71,14 @@
 }
 
 // absence says why the service has no replica for the version.
-func (s *service) absence(version snapshot.Version, now int64) verdict.Reason {
+func (s *service) absence(version snapshot.Version, now time.Time) verdict.Reason {
 	reason := s.absent
 	for i := range s.replicas {
 		known := s.replicas[i].state
 		switch {
 		case known.leaving(now):
 			reason = verdict.Leaving
-		case known.holding.Belief(version) == snapshot.Lacks:
+		case known.holding.Belief(version, now) == snapshot.Lacks:
 			return verdict.VersionNotHeld
 		default:
 			reason = verdict.PeerUnreachable
--- a/internal/query/engine.go
+++ b/internal/query/engine.go
@@ -67,6 +67,7 @@
 	updating sync.Mutex
 	replicas map[fleet.ServerID]*replicaState
 	services map[fleet.ServiceID]*serviceStats
+	trials   map[catalogue.ApplicationID]*atomic.Int64
 }
 
 // New returns an engine for an entry instance of the zone. It refuses queries until Update is called.
@@ -79,6 +80,7 @@
 		seed:     seed,
 		replicas: make(map[fleet.ServerID]*replicaState),
 		services: make(map[fleet.ServiceID]*serviceStats),
+		trials:   make(map[catalogue.ApplicationID]*atomic.Int64),
 	}
 	e.plan.Store(&plan{})
 	return e
--- a/internal/query/handle.go
+++ b/internal/query/handle.go
@@ -132,7 +132,7 @@
 		return false
 	}
 	q.app = app
-	choice, ok := q.choice()
+	choice, ok := q.choice(false)
 	if !ok || !choice.Whole {
 		return false
 	}
--- a/internal/query/plan.go
+++ b/internal/query/plan.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+	"sync/atomic"
+	"time"
 
 	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
@@ -21,6 +23,17 @@
 	policy   catalogue.Service
 	index    *snapshot.Index
 	versions map[snapshot.Version][]shardOf
+	// tried is the time of the last trial of a version, in Unix nanoseconds. It outlives the plan.
+	tried *atomic.Int64
+}
+
+// trialInterval bounds trials of versions that some replicas have said nothing about.
+const trialInterval = time.Second
+
+// mayTry allows one query in each interval to try a version.
+func (a *application) mayTry(now time.Time) bool {
+	last := a.tried.Load()
+	return now.UnixNano()-last >= int64(trialInterval) && a.tried.CompareAndSwap(last, now.UnixNano())
 }
 
 type shardOf struct {
@@ -57,7 +70,7 @@
 	}
 	for _, id := range entries.Applications() {
 		policy, _ := entries.Service(entries.Application(id)[0])
-		app := &application{policy: policy, index: indexes[id]}
+		app := &application{policy: policy, index: indexes[id], tried: e.trialOf(id)}
 		next.applications[id] = app
 		if app.index == nil {
 			continue
@@ -120,6 +133,15 @@
 	return known
 }
 
+func (e *Engine) trialOf(id catalogue.ApplicationID) *atomic.Int64 {
+	known, ok := e.trials[id]
+	if !ok {
+		known = &atomic.Int64{}
+		e.trials[id] = known
+	}
+	return known
+}
+
 func (e *Engine) dropUnlisted(view *fleet.View) {
 	for server := range e.replicas {
 		if _, listed := view.Server(server); !listed {
@@ -130,7 +152,7 @@
 }
 
 // best returns the strongest belief among the usable replicas of a service.
-func (p *plan) best(id fleet.ServiceID, version snapshot.Version, router Router, now int64) snapshot.Belief {
+func (p *plan) best(id fleet.ServiceID, version snapshot.Version, router Router, now time.Time) snapshot.Belief {
 	strongest := snapshot.Lacks
 	known, ok := p.services[id]
 	if !ok {
@@ -138,7 +160,7 @@
 	}
 	for i := range known.replicas {
 		candidate := &known.replicas[i]
-		belief := candidate.state.holding.Belief(version)
+		belief := candidate.state.holding.Belief(version, now)
 		if belief <= strongest || candidate.state.leaving(now) {
 			continue
 		}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -144,7 +144,7 @@
 
 // pin chooses the version and sets up its shards.
 func (q *query) pin() *api.Refusal {
-	choice, ok := q.choice()
+	choice, ok := q.choice(q.idempotent && q.app.mayTry(time.Now()))
 	if !ok {
 		refusal := refuse(q.request, verdict.UnknownShard, 0, "no index version has every shard of the query")
 		refusal.Field = "shards"
@@ -154,13 +154,13 @@
 	return nil
 }
 
-func (q *query) choice() (snapshot.Choice, bool) {
-	now := time.Now().UnixNano()
+func (q *query) choice(trial bool) (snapshot.Choice, bool) {
+	now := time.Now()
 	skip := func(version snapshot.Version) bool { return slices.Contains(q.ruledOut, version) }
 	best := func(service fleet.ServiceID, version snapshot.Version) snapshot.Belief {
 		return q.plan.best(service, version, q.engine.router, now)
 	}
-	return q.app.index.Pin(q.request.Shards, skip, best)
+	return q.app.index.Pin(q.request.Shards, trial, skip, best)
 }
 
 func (q *query) take(version snapshot.Version) {
@@ -184,7 +184,7 @@
 		shard := &q.shards[i]
 		chosen, owner := q.choose(shard, false, now)
 		if chosen == nil {
-			q.fail(shard, shard.service.absence(q.version, now.UnixNano()))
+			q.fail(shard, shard.service.absence(q.version, now))
 			continue
 		}
 		q.engine.counters.Firsts.Add(1)
@@ -209,7 +209,7 @@
 	shard.service = known
 	tried := shard.tried
 	for {
-		chosen := known.choose(q.version, tried, hedge, &q.draw, now.UnixNano())
+		chosen := known.choose(q.version, tried, hedge, &q.draw, now)
 		if chosen == nil {
 			return nil, ""
 		}
--- a/internal/query/stats.go
+++ b/internal/query/stats.go
@@ -41,7 +41,7 @@
 
 // account takes a result that matched an attempt sent at the given time.
 func (s *replicaState) account(result *Result, sent, now time.Time) {
-	s.holding.Observe(result.Held, now)
+	s.holding.Observe(result.Held, sent)
 	if result.Leaving {
 		s.leavingUntil.Store(now.Add(leavingMemory).UnixNano())
 	}
@@ -56,7 +56,7 @@
 	switch result.Err.Reason {
 	case verdict.Cancelled, verdict.HedgeRefused:
 	case verdict.VersionNotHeld:
-		s.holding.Withdraw(result.Version, now)
+		s.holding.Withdraw(result.Version, sent)
 	default:
 		if failedBeforeServer(result.Err) {
 			// The replica is not at fault; it is avoided briefly while its owner changes.
@@ -87,11 +87,11 @@
 }
 
 // score is the expected time of a new part at the replica; less is better.
-func (s *replicaState) score(typical int64, local bool, now int64) int64 {
+func (s *replicaState) score(typical int64, local bool, now time.Time) int64 {
 	latency := typical
 	wait := int64(0)
 	if known := s.latency.Load(); known != 0 {
-		age := max(now-s.sampled.Load(), 0)
+		age := max(now.UnixNano()-s.sampled.Load(), 0)
 		latency += (known - typical) >> min(age/int64(forgetting), 40)
 		wait = max(s.wait.Load()-age, 0)
 	}
@@ -102,13 +102,13 @@
 	if s.cold.Load() {
 		total += int64(notWarmPenalty)
 	}
-	if s.avoidUntil.Load() > now {
+	if s.avoidUntil.Load() > now.UnixNano() {
 		total += int64(avoidPenalty)
 	}
 	return total
 }
 
-func (s *replicaState) leaving(now int64) bool { return s.leavingUntil.Load() > now }
+func (s *replicaState) leaving(now time.Time) bool { return s.leavingUntil.Load() > now.UnixNano() }
 
 const (
 	// unknownHedgeShare is the share of the time left after which a part is hedged while the service's
--- a/internal/snapshot/holding.go
+++ b/internal/snapshot/holding.go
@@ -9,16 +9,22 @@
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 )
 
-// answerPrecedence is how long a server's own answer outweighs a hint, because the state endpoint lags.
-const answerPrecedence = 5 * time.Second
+const (
+	// answerPrecedence is how long a server's own answer outweighs a hint, because the state endpoint lags.
+	answerPrecedence = 5 * time.Second
+	// lackMemory is how long a replica is believed not to hold a version after it last said so. A
+	// replica without traffic, such as one of a service that only a new version uses, would otherwise
+	// never be asked again.
+	lackMemory = 10 * time.Second
+)
 
 // Belief says what is known about a replica and a version.
 type Belief int
 
 const (
-	// Lacks means that the replica said something and did not list the version, or refused it.
+	// Lacks means that the replica lately said something and did not list the version, or refused it.
 	Lacks Belief = iota
-	// Unknown means that the replica has said nothing so far.
+	// Unknown means that the replica has said nothing, or not for a while.
 	Unknown
 	// Holds means that the replica listed the version.
 	Holds
@@ -31,34 +37,43 @@
 
 type holdingState struct {
 	versions []Version
-	answered time.Time // zero if only hints were seen
+	told     time.Time // last time that the replica said anything
+	answered time.Time // last answer; zero if only hints were seen
 }
 
 // Belief tells whether the replica holds the version.
-func (h *Holding) Belief(version Version) Belief {
+func (h *Holding) Belief(version Version, now time.Time) Belief {
 	state := h.current.Load()
 	switch {
 	case state == nil:
 		return Unknown
 	case slices.Contains(state.versions, version):
 		return Holds
+	case now.Sub(state.told) > lackMemory:
+		return Unknown
 	default:
 		return Lacks
 	}
 }
 
-// Observe takes the list of held versions from an answer of the replica. A list that did not change
-// is not stored again within half of the time in which answers outweigh hints, so that the usual
-// answer writes nothing.
-func (h *Holding) Observe(held []Version, now time.Time) {
+// Observe takes the list of held versions from an answer to an attempt that was sent at the given time.
+// An answer to an attempt older than the last one that counted is ignored: it may have been on its way
+// while the replica took up or dropped a version. A list that did not change is not stored again
+// within half of the time in which answers outweigh hints, so that the usual answer writes nothing.
+func (h *Holding) Observe(held []Version, sent time.Time) {
 	if held == nil {
 		return
 	}
 	state := h.current.Load()
-	if state != nil && slices.Equal(state.versions, held) && now.Sub(state.answered) < answerPrecedence/2 {
-		return
+	if state != nil {
+		if sent.Before(state.answered) {
+			return
+		}
+		if slices.Equal(state.versions, held) && sent.Sub(state.answered) < answerPrecedence/2 {
+			return
+		}
 	}
-	h.current.Store(&holdingState{versions: slices.Clone(held), answered: now})
+	h.current.CompareAndSwap(state, &holdingState{versions: slices.Clone(held), told: sent, answered: sent})
 }
 
 // Hint takes the list of held versions from the replica's state endpoint. It is ignored while an
@@ -71,15 +86,19 @@
 	if state != nil && !state.answered.IsZero() && now.Sub(state.answered) < answerPrecedence {
 		return
 	}
-	h.current.CompareAndSwap(state, &holdingState{versions: slices.Clone(held)})
+	h.current.CompareAndSwap(state, &holdingState{versions: slices.Clone(held), told: now})
 }
 
-// Withdraw removes a version that the replica refused.
-func (h *Holding) Withdraw(version Version, now time.Time) {
+// Withdraw removes a version that the replica refused in answer to an attempt that was sent at the
+// given time. It outweighs the list of held versions in the same answer.
+func (h *Holding) Withdraw(version Version, sent time.Time) {
 	for {
 		state := h.current.Load()
-		next := &holdingState{answered: now}
+		next := &holdingState{told: sent, answered: sent}
 		if state != nil {
+			if sent.Before(state.answered) {
+				return
+			}
 			for _, held := range state.versions {
 				if held != version {
 					next.versions = append(next.versions, held)
--- a/internal/snapshot/pin.go
+++ b/internal/snapshot/pin.go
@@ -14,11 +14,14 @@
 // Pin chooses the newest version that can be answered whole. A version in which every asked shard has
 // a usable replica that said it holds it goes before one in which some replicas have said nothing;
 // without either, the version with the most answerable shards is chosen. Versions that lack an
-// asked shard are not considered. asked is nil for all shards of the version. skip rules versions out.
+// asked shard are not considered. asked is empty for all shards of the version. skip rules versions out.
+//
+// A trial takes the newest version that no replica is known to lack as if it were confirmed. Without
+// trials a version that moves shards to services without traffic would wait for hints.
 //
 // best returns the strongest belief about the version among the service's usable replicas, and Lacks if
 // there is none. ok is false if no version has all asked shards.
-func (x *Index) Pin(asked []ShardID, skip func(Version) bool, best func(fleet.ServiceID, Version) Belief) (choice Choice, ok bool) {
+func (x *Index) Pin(asked []ShardID, trial bool, skip func(Version) bool, best func(fleet.ServiceID, Version) Belief) (choice Choice, ok bool) {
 	rank := -1
 	for _, shards := range x.versions {
 		if skip != nil && skip(shards.Version) {
@@ -31,7 +34,7 @@
 		// A version confirmed by every shard ranks above any other; then one that may be whole.
 		candidate := held + unknown
 		switch {
-		case held == all:
+		case held == all, trial && held+unknown == all:
 			candidate = maxRank
 		case held+unknown == all:
 			candidate = maxRank - 1
@@ -59,7 +62,7 @@
 			unknown++
 		}
 	}
-	if asked == nil {
+	if len(asked) == 0 {
 		for _, service := range shards.Shards {
 			add(service)
 		}
