--- a/internal/peer/send.go
+++ b/internal/peer/send.go
@@ -315,15 +315,15 @@
 }
 
 // ForwardTicket implements ticket.Forwarder.
-func (n *Node) ForwardTicket(ctx context.Context, to fleet.InstanceID, call ticket.Call) ticket.Outcome {
+func (n *Node) ForwardTicket(ctx context.Context, to fleet.InstanceID, call ticket.Call) (ticket.Outcome, *verdict.Error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	run := ticketRun{call.Ticket, call.Digest, call.Application, call.Body, microsLeft(call.Deadline)}
 	var ran ticketRan
 	if err := n.call(ctx, to, methodTicketRun, run, &ran); err != nil {
-		return ticket.Outcome{Err: err}
+		return ticket.Outcome{}, err
 	}
-	return ticket.Outcome{Answer: ran.Answer, Err: ran.Err.toError()}
+	return ticket.Outcome{Answer: ran.Answer, Err: ran.Err.toError()}, nil
 }
 
 // GetConfiguration asks a peer for the configuration in force there.
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -73,8 +73,8 @@
 	Err    *verdict.Error
 }
 
-// Forwarder carries a call to the instance that issued its ticket. The verdict of an error speaks of
-// this call alone: NotRun if it was never written or the issuer said so, else MayHaveRun.
+// Forwarder carries a call to the instance that issued its ticket. The outcome is the issuer's. An
+// error means that there is none; its verdict speaks of this call alone.
 type Forwarder interface {
-	ForwardTicket(ctx context.Context, to fleet.InstanceID, call Call) Outcome
+	ForwardTicket(ctx context.Context, to fleet.InstanceID, call Call) (Outcome, *verdict.Error)
 }
