Read the ticket history under its lock

The race detector reported TestTicketHistories in 1 of 3 runs: late duplicates append to the history after the callers have ended. The test read the slice without the lock.

--- a/internal/ticket/history_test.go
+++ b/internal/ticket/history_test.go
@@ -272,6 +272,9 @@
 		}
 		group.Wait()
 		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		history = f.history
 	})
 	return porcupine.CheckOperations(model, history), history
