--- a/internal/ticket/runner_test.go
+++ b/internal/ticket/runner_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/pkg/api"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
@@ -49,7 +50,7 @@
 
 // Guards against a false verdict for each way in which a ticket can be used, and against a second run.
 func TestVerdictOfAUse(t *testing.T) {
-	digest, other := DigestOf("tokens", []byte("a")), DigestOf("tokens", []byte("b"))
+	digest, other := DigestOf("tokens", api.Query{ID: "a"}), DigestOf("tokens", api.Query{ID: "b"})
 	run := func(r *Runner, text string, runs *atomic.Int64) {
 		r.Run(context.Background(), text, digest, answers(runs))
 	}
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/pkg/api"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
@@ -32,11 +33,17 @@
 // Digest identifies the content of a request.
 type Digest [sha256.Size]byte
 
-// DigestOf returns the digest of an application's request.
-func DigestOf(application string, body []byte) Digest {
+// DigestOf returns the digest of what a repeat of a request has to repeat: everything but the ticket
+// and the deadline, which shrinks from attempt to attempt.
+func DigestOf(application string, request api.Query) Digest {
 	hash := sha256.New()
-	fmt.Fprintf(hash, "%d:%s:", len(application), application)
-	hash.Write(body)
+	write := func(field string) { fmt.Fprintf(hash, "%d:%s", len(field), field) }
+	write(application)
+	write(request.ID)
+	write(string(request.Query))
+	for _, shard := range request.Shards {
+		write(shard)
+	}
 	return Digest(hash.Sum(nil))
 }
 
