--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log"
 	"net"
@@ -100,7 +101,7 @@
 	var send sendState
 	waiter, err := l.dispatch(l.lastID.Add(1), method, params, &send)
 	if err != nil {
-		return verdict.New(verdict.NotRun, verdict.PeerUnreachable, "%s to %q: %v", method, l.peer.Instance, err)
+		return notQueued(l.peer.Instance, err)
 	}
 	if err = waiter.Wait(ctx, result); err == nil {
 		return nil
@@ -108,9 +109,18 @@
 	if refused := fromRPCError(err); refused != nil {
 		return refused
 	}
+	l.closeOn(err)
 	return send.lost(ctx, err)
 }
 
+// closeOn ends the link when jsonrpc2 has ended the connection, before a caller that hears of it can
+// try the same link again.
+func (l *link) closeOn(err error) {
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		l.close()
+	}
+}
+
 // lost returns the verdict of a call whose answer did not come.
 func (s *sendState) lost(ctx context.Context, err error) *verdict.Error {
 	if s.withdraw() {
@@ -144,13 +154,14 @@
 
 // parseInbound reads a request in the form that encodeMessage writes. The general decoder would go
 // through a map, which changes the order of the keys in the caller's query. Another form is left to it.
+// The parameters are not checked: with fields after them they are not JSON.
 func parseInbound(frame []byte) (inbound, bool) {
 	rest, ok := bytes.CutPrefix(frame, requestPrefix)
 	if !ok {
 		return inbound{}, false
 	}
 	method, rest, ok := bytes.Cut(rest, []byte{'"'})
-	if !ok || bytes.IndexByte(method, '\\') >= 0 {
+	if !ok || bytes.ContainsFunc(method, func(r rune) bool { return r != '.' && (r < 'a' || r > 'z') }) {
 		return inbound{}, false
 	}
 	message := inbound{method: string(method), notif: true}
@@ -160,7 +171,7 @@
 			return inbound{}, false
 		}
 		id, err := strconv.ParseUint(string(after[:end]), 10, 64)
-		if err != nil {
+		if err != nil || after[0] == '0' {
 			return inbound{}, false
 		}
 		message.id, message.notif, rest = id, false, after[end:]
@@ -173,8 +184,7 @@
 		return message, true
 	}
 	message.params, ok = bytes.CutPrefix(rest, paramsField)
-	// Without the check, fields after the parameters would count as a part of them.
-	return message, ok && json.Valid(message.params)
+	return message, ok && len(message.params) > 0
 }
 
 func (l *link) direct(frame []byte) (bool, error) {
@@ -183,6 +193,11 @@
 	if !ok {
 		return false, nil
 	}
+	// The methods of the request path decode all parameters at once, which checks them too.
+	checked := message.method == methodPartsRun || message.method == methodPartsResult
+	if !checked && len(message.params) > 0 && !json.Valid(message.params) {
+		return false, nil
+	}
 	return true, l.receive(message)
 }
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -137,12 +137,14 @@
 	}
 }
 
-// admitInbound closes older connections of the same instance, which it has given up or lost.
+// admitInbound closes older connections of the same process, which has given them up. Two processes
+// with the same name keep theirs, since otherwise each would close the other's for ever.
 func (n *Node) admitInbound(admitted *link) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for other := range n.inbound {
-		if other != admitted && other.admitted.Load() && other.peer.Instance == admitted.peer.Instance {
+		if other != admitted && other.admitted.Load() && other.peer.Instance == admitted.peer.Instance &&
+			other.peer.Incarnation == admitted.peer.Incarnation {
 			other.cancel()
 		}
 	}
@@ -300,6 +302,28 @@
 	}
 }
 
+// Forget closes the connection to a peer that is no longer in the fleet.
+func (n *Node) Forget(to fleet.InstanceID) {
+	n.mu.Lock()
+	gone := n.outbound[to]
+	delete(n.outbound, to)
+	n.mu.Unlock()
+	if gone != nil {
+		gone.close()
+	}
+}
+
+// notQueued returns the verdict of a call whose frame the connection did not take.
+func notQueued(to fleet.InstanceID, err error) *verdict.Error {
+	switch {
+	case errors.Is(err, errBusy):
+		return verdict.New(verdict.NotRun, verdict.Overloaded, "to %q: %v", to, err)
+	case errors.Is(err, errTooLarge):
+		return verdict.New(verdict.NotRun, verdict.InvalidRequest, "to %q: %v", to, err)
+	}
+	return unreachable(to, err)
+}
+
 func unreachable(to fleet.InstanceID, err error) *verdict.Error {
 	return verdict.New(verdict.NotRun, verdict.PeerUnreachable, "no connection to %q: %v", to, err)
 }
--- a/internal/peer/send.go
+++ b/internal/peer/send.go
@@ -29,7 +29,8 @@
 	stop  func() bool
 }
 
-// Send implements query.Sender for remote owners. A context that came with parts from a peer marks
+// Send implements query.Sender for remote owners. It calls deliver from the goroutine that reads the
+// connection, so deliver must not block. A context that came with parts from a peer marks
 // them as forwarded; parts that were forwarded to this instance are refused.
 func (n *Node) Send(ctx context.Context, owner fleet.InstanceID, parts []query.Part, deliver func(query.Result)) {
 	if len(parts) == 0 {
@@ -52,6 +53,10 @@
 		wait, cancel := context.WithDeadline(ctx, latestDeadline(parts))
 		defer cancel()
 		l, err := to.link(wait)
+		if err != nil && ctx.Err() != nil {
+			call.failAll(verdict.New(verdict.NotRun, verdict.Cancelled, "cancelled before %q was reached", owner))
+			return
+		}
 		if err != nil {
 			call.failAll(unreachable(owner, err))
 			return
@@ -78,7 +83,7 @@
 	}
 	waiter, err := l.dispatch(c.id, methodPartsRun, toPartsRun(parts, hops > 0, time.Now()), &c.send)
 	if err != nil {
-		c.failAll(unreachable(c.to, err))
+		c.failAll(notQueued(c.to, err))
 		return
 	}
 	c.mu.Lock()
@@ -93,6 +98,7 @@
 		case refused != nil:
 			c.failAll(refused)
 		case err != nil:
+			l.closeOn(err)
 			c.failAll(c.send.lost(context.Background(), err))
 		default:
 			c.failAll(verdict.New(verdict.MayHaveRun, verdict.BadAnswer, "%q ended the call without a result", c.to))
@@ -293,25 +299,36 @@
 }
 
 // Heartbeat exchanges heartbeats with a peer. The connection is closed if the peer does not answer
-// within SilentAfter, also when ctx ends earlier, so that the next call opens a new one.
+// within SilentAfter, so that the next call opens a new one. That holds also when ctx ends earlier, and
+// an answer after the end of ctx still counts as a sign of life.
 func (n *Node) Heartbeat(ctx context.Context, to fleet.InstanceID, beat Heartbeat) (Heartbeat, error) {
 	l, err := n.peer(to).link(ctx)
 	if err != nil {
 		return Heartbeat{}, unreachable(to, err)
 	}
 	beat.Instance, beat.Incarnation, beat.Zone = n.settings.Instance, n.settings.Incarnation, n.settings.Zone
+	type reply struct {
+		beat Heartbeat
+		err  *verdict.Error
+	}
+	replies := make(chan reply, 1)
 	silent := time.AfterFunc(n.settings.Limits.SilentAfter, l.close)
-	var other Heartbeat
-	if err := l.call(ctx, methodHeartbeat, beat, &other); err != nil {
-		// A refusal is a sign of life too.
-		if err.Verdict == verdict.NotRun && err.Reason != verdict.PeerUnreachable {
-			silent.Stop()
+	go func() {
+		var other reply
+		other.err = l.call(l.ctx, methodHeartbeat, beat, &other.beat)
+		silent.Stop()
+		replies <- other
+	}()
+	select {
+	case other := <-replies:
+		if other.err != nil {
+			return Heartbeat{}, other.err
 		}
-		return Heartbeat{}, err
+		other.beat.Instance, other.beat.Incarnation, other.beat.Zone = l.peer.Instance, l.peer.Incarnation, l.peer.Zone
+		return other.beat, nil
+	case <-ctx.Done():
+		return Heartbeat{}, verdict.New(verdict.MayHaveRun, verdict.PeerUnreachable, "no heartbeat from %q: %v", to, ctx.Err())
 	}
-	silent.Stop()
-	other.Instance, other.Incarnation, other.Zone = l.peer.Instance, l.peer.Incarnation, l.peer.Zone
-	return other, nil
 }
 
 // ForwardTicket implements ticket.Forwarder.
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -19,8 +19,9 @@
 const frameHeader = 4
 
 var (
-	errBusy   = errors.New("the connection's write queue is full")
-	errClosed = errors.New("the connection is closed")
+	errBusy     = errors.New("the connection's write queue is full")
+	errClosed   = errors.New("the connection is closed")
+	errTooLarge = errors.New("the frame is larger than allowed")
 )
 
 // sendState is shared by a call and the writer. Whoever changes it first from queued decides whether
@@ -154,12 +155,15 @@
 
 // encodeReply returns a response; the field is result or error.
 func encodeReply(id uint64, field string, value json.RawMessage) []byte {
+	if len(value) == 0 {
+		value = json.RawMessage("null")
+	}
 	return fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%d,"%s":%s}`, id, field, value)
 }
 
 func (s *stream) enqueue(frame outFrame) error {
 	if int64(len(frame.body)) > s.maxFrame.Load() {
-		return fmt.Errorf("frame of %d bytes, allowed are %d", len(frame.body), s.maxFrame.Load())
+		return fmt.Errorf("%w: %d bytes, allowed are %d", errTooLarge, len(frame.body), s.maxFrame.Load())
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
