--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -81,6 +81,8 @@
 	group.Wait()
 	b.StopTimer()
 	used := processorTime() - before
+	frames := from.Counts().ResultFrames
+	b.ReportMetric(float64(calls*coordinators*count)/float64(frames), "results/frame")
 	b.ReportMetric(float64(used.Microseconds())/float64(calls*coordinators*count), "cpu-µs/part")
 }
 
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -115,6 +115,7 @@
 func (l *link) expireHello(after time.Duration) {
 	time.AfterFunc(after, func() {
 		if !l.admitted.Load() {
+			l.node.counters.refused.Add(1)
 			l.close()
 		}
 	})
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -82,6 +82,7 @@
 	address  func(fleet.InstanceID) (string, bool)
 	dialer   Dialer
 	random   *randomness
+	counters counters
 
 	mu        sync.Mutex
 	outbound  map[fleet.InstanceID]*outbound
@@ -127,6 +128,7 @@
 		n.mu.Lock()
 		if n.closed || len(n.inbound) >= n.settings.Limits.Connections {
 			n.mu.Unlock()
+			n.counters.refused.Add(1)
 			_ = connection.Close()
 			continue
 		}
@@ -245,6 +247,7 @@
 	limits := o.node.settings.Limits
 	ctx, cancel := context.WithTimeout(context.Background(), limits.SilentAfter)
 	defer cancel()
+	o.node.counters.dials.Add(1)
 	attempt.link, attempt.err = o.node.connect(ctx, o.to)
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -252,6 +255,7 @@
 	if attempt.err == nil {
 		o.current, o.backoff, o.failed = attempt.link, 0, nil
 	} else {
+		o.node.counters.dialsFailed.Add(1)
 		o.failed = attempt.err
 		o.backoff = min(max(2*o.backoff, limits.BackoffFirst), limits.BackoffMost)
 		// Full jitter over the upper half keeps instances from dialling a returned peer together.
--- a/internal/peer/send.go
+++ b/internal/peer/send.go
@@ -114,6 +114,7 @@
 	}
 	c.link, c.id = l, l.lastID.Add(1)
 	l.inflight += len(parts)
+	l.node.counters.partsSent.Add(uint64(len(parts)))
 	l.calls[c.id] = c
 	for _, part := range parts {
 		l.attempts[part.Attempt] = c
@@ -251,14 +252,14 @@
 	if err := json.Unmarshal(params, &message); err != nil {
 		return err
 	}
+	l.node.counters.resultFrames.Add(1)
 	l.mu.Lock()
 	call := l.calls[message.Call]
 	l.mu.Unlock()
-	if call == nil {
-		return nil
-	}
 	for _, wire := range message.Results {
-		call.settle(wire.toResult())
+		if call == nil || !call.settle(wire.toResult()) {
+			l.node.counters.dropped.Add(1)
+		}
 	}
 	return nil
 }
@@ -312,7 +313,10 @@
 		err  *verdict.Error
 	}
 	replies := make(chan reply, 1)
-	silent := time.AfterFunc(n.settings.Limits.SilentAfter, l.close)
+	silent := time.AfterFunc(n.settings.Limits.SilentAfter, func() {
+		n.counters.silent.Add(1)
+		l.close()
+	})
 	go func() {
 		var other reply
 		other.err = l.call(l.ctx, methodHeartbeat, beat, &other.beat)
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -169,6 +169,7 @@
 		return nil
 	}
 	parts := run.toParts(time.Now())
+	l.node.counters.partsServed.Add(uint64(len(parts)))
 	call := &inCall{link: l, id: message.id, open: make(map[uint64]query.Part, len(parts))}
 	latest := parts[0].Deadline
 	for _, part := range parts {
