Test peer over TLS on loopback and bound its heartbeat test

Nothing covered the TLS configuration. The heartbeat test looped without bound when a silent connection is kept; it now ends after 20 heartbeats.

--- a/internal/peer/fault_test.go
+++ b/internal/peer/fault_test.go
@@ -160,6 +160,7 @@
 						is.Equal(string(results[attempt].Rows), rows)
 						continue
 					}
+					is.True(results[attempt].Err != nil) // a result that belongs to no part was delivered
 					is.Equal(results[attempt].Err.Reason, want)
 					is.Equal(results[attempt].Err.Verdict, verdict.MayHaveRun)
 				}
@@ -314,7 +315,7 @@
 		n.wrap = nil
 		start := time.Now()
 		failures := 0
-		for beat() != nil {
+		for beat() != nil && failures < 20 {
 			failures++
 		}
 		// With 250 ms a heartbeat would begin at the same moment as the connection is closed.
--- a/internal/peer/bench_test.go
+++ b/internal/peer/tcp_test.go
@@ -2,18 +2,24 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"math/rand"
 	"net"
+	"net/http/httptest"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/internal/query"
 	"github.com/medlarlatch/medlarlatch/internal/ticket"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
 func processorTime() time.Duration {
@@ -34,23 +40,9 @@
 
 func benchmarkParts(b *testing.B, count int) {
 	addresses := make(map[fleet.InstanceID]string)
-	start := func(name fleet.InstanceID, handlers Handlers) *Node {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			b.Fatal(err)
-		}
-		addresses[name] = listener.Addr().String()
-		node, err := New(Settings{Instance: name, Key: []byte(testKey), Incarnation: ticket.Incarnation{1}}, handlers,
-			func(id fleet.InstanceID) (string, bool) { return addresses[id], true }, &net.Dialer{}, rand.New(rand.NewSource(1)))
-		if err != nil {
-			b.Fatal(err)
-		}
-		go func() { _ = node.Serve(listener) }()
-		return node
-	}
 	rows := json.RawMessage(`[{"token":"` + string(make200()) + `"}]`)
 	far := answering{rows}
-	from, to := start("a", Handlers{}), start("b", Handlers{Parts: far})
+	from, to := listenTCP(b, addresses, "a", nil, Handlers{}), listenTCP(b, addresses, "b", nil, Handlers{Parts: far})
 	defer from.Close()
 	defer to.Close()
 	body := json.RawMessage(`{"family":"` + string(make200()) + `"}`)
@@ -106,3 +98,45 @@
 }
 
 func (answering) Cancel(fleet.InstanceID, uint64) {}
+
+// listenTCP starts a node on loopback and notes its address.
+func listenTCP(t testing.TB, addresses map[fleet.InstanceID]string, name fleet.InstanceID, config *tls.Config, handlers Handlers) *Node {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addresses[name] = listener.Addr().String()
+	node, err := New(Settings{Instance: name, Key: []byte(testKey), Incarnation: ticket.Incarnation{1}, TLS: config}, handlers,
+		func(id fleet.InstanceID) (string, bool) { return addresses[id], true }, &net.Dialer{}, rand.New(rand.NewSource(1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = node.Serve(listener) }()
+	return node
+}
+
+// Guards against a key that is used without the configured TLS, on real connections.
+func TestTLS(t *testing.T) {
+	is := is.New(t)
+	// The server lends its certificate for 127.0.0.1.
+	lender := httptest.NewTLSServer(nil)
+	defer lender.Close()
+	authority := x509.NewCertPool()
+	authority.AddCert(lender.Certificate())
+	config := &tls.Config{Certificates: lender.TLS.Certificates, RootCAs: authority}
+	addresses := make(map[fleet.InstanceID]string)
+	b := listenTCP(t, addresses, "b", config, Handlers{Parts: &runner{}})
+	a := listenTCP(t, addresses, "a", config, Handlers{})
+	plain := listenTCP(t, addresses, "c", nil, Handlers{})
+	distrusting := listenTCP(t, addresses, "d", &tls.Config{RootCAs: x509.NewCertPool()}, Handlers{})
+	for _, node := range []*Node{a, b, plain, distrusting} {
+		defer node.Close()
+	}
+	for attempt, result := range collect(t.Context(), t, a, "b", testParts(5, 5*time.Second)) {
+		is.Equal(result.Err, nil)
+		is.True(attempt > 0)
+	}
+	requireVerdict(t, collect(t.Context(), t, plain, "b", testParts(2, 5*time.Second)), 2, verdict.NotRun, verdict.PeerUnreachable)
+	requireVerdict(t, collect(t.Context(), t, distrusting, "b", testParts(2, 5*time.Second)), 2, verdict.NotRun, verdict.PeerUnreachable)
+}
