Prove that the configuration spreads in time, never reverts and is edited truthfully

Ruled out: a notification alone as the way to peers; with the rounds that ask peers switched off, TestSpreadTime fails in three of its seven cases.

--- a/internal/configuration/editor.go
+++ b/internal/configuration/editor.go
@@ -70,6 +70,10 @@
 	return e.Err
 }
 
+// staleRereads is the number of further reads when the store does not know the base of an edit, which
+// may be because it answers from an older state.
+const staleRereads = 20
+
 // Editor changes the catalogue in the store.
 type Editor struct {
 	store  Store
@@ -112,11 +116,19 @@
 	first := true
 	var base catalogue.Catalogue
 	var baseRevision uint64
+	rereads := 0
 	for least := uint64(0); ; {
 		current, revision, err := e.Read(ctx)
 		if err != nil {
 			return Accepted{}, err
 		}
+		if first && !knowsBase(current, edit.Base) {
+			if rereads++; rereads <= staleRereads && e.pause(ctx) == nil {
+				continue
+			}
+			return Accepted{}, verdict.New(verdict.NotRun, verdict.BadAnswer,
+				"the store does not know the write id %s that the document starts from: it answers from an older state, or the document is from another store", edit.Base)
+		}
 		if revision < least {
 			if err := e.pause(ctx); err != nil {
 				return Accepted{}, verdict.New(verdict.NotRun, verdict.DeadlinePassed, "the store answers from before revision %d", least)
@@ -150,6 +162,12 @@
 	return ""
 }
 
+// knowsBase tells whether the catalogue is the base or came after it. A full list of ids may have lost it.
+func knowsBase(current catalogue.Catalogue, base string) bool {
+	ids := current.WriteIDs()
+	return base == "" || len(ids) == catalogue.MaxWriteIDs || slices.Contains(ids, base)
+}
+
 func (e *Editor) prepare(current catalogue.Catalogue, revision uint64, edit Edit) (write, error) {
 	changed, err := edit.Apply(current)
 	if err != nil {
--- a/internal/configuration/spreader.go
+++ b/internal/configuration/spreader.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// watchWait is how long a long poll waits; a watcher makes two calls a minute when nothing changes.
-	watchWait = 30 * time.Second
+	// watchWait is how long a long poll waits. A connection can go silent, and the poll on it then ends
+	// only after this time: it is short enough for the 5 s target even if the connections of all
+	// watchers go silent at once. A watcher makes one call in 2 s when nothing changes.
+	watchWait = 2 * time.Second
 	// callTimeout bounds a call to a peer, and the store's part of the first round.
 	callTimeout = 800 * time.Millisecond
 	// pullInterval is the time between rounds that ask peers, so that a lost notification is made good
@@ -23,7 +25,7 @@
 	// watchBackoffLeast and watchBackoffMost bound the pause after a failed watch. The longest keeps
 	// the end of an outage to adoption within the 5 s target.
 	watchBackoffLeast = 100 * time.Millisecond
-	watchBackoffMost  = 2 * time.Second
+	watchBackoffMost  = time.Second
 )
 
 // Guide gives the current plan; it is asked before each round.
--- /dev/null
+++ b/internal/configuration/spreader_test.go
@@ -0,0 +1,245 @@
+package configuration_test
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/medlarlatch/medlarlatch/internal/catalogue"
+	"github.com/medlarlatch/medlarlatch/internal/configuration"
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/standin/store"
+)
+
+// spreadTarget is the time within which a configuration is in force everywhere.
+const spreadTarget = 5 * time.Second
+
+// TestSpreadTime guards against a change that reaches an instance late under one lasting failure.
+func TestSpreadTime(t *testing.T) {
+	cases := map[string]func(c *cluster){
+		"no failure":         func(*cluster) {},
+		"notifications lost": func(c *cluster) { c.deaf = true },
+		"a zone cut off from the store": func(c *cluster) {
+			for _, n := range c.nodes {
+				n.transport.Cut.Store(n.entry.Zone == "a")
+			}
+		},
+		"two zones cut off from the store, notifications lost": func(c *cluster) {
+			c.deaf = true
+			for _, n := range c.nodes {
+				n.transport.Cut.Store(n.entry.Zone != "c")
+			}
+		},
+		"both watchers of a zone lost but listed": func(c *cluster) {
+			for _, n := range c.nodes {
+				if n.entry.Zone == "a" && n.Plan().Watch {
+					n.kill()
+				}
+			}
+		},
+		"zones cut off from each other": func(c *cluster) {
+			c.cut[[2]fleet.ZoneID{"a", "b"}], c.cut[[2]fleet.ZoneID{"a", "c"}], c.cut[[2]fleet.ZoneID{"b", "c"}] = true, true, true
+		},
+		"slow store": func(c *cluster) { c.store.SetFaults(store.Faults{SlowMillis: 500}) },
+	}
+	for name, fail := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 16)
+				c.put()
+				c.startAll(1)
+				defer c.stopAll()
+				time.Sleep(3 * time.Second)
+				is.Equal(len(c.late(1)), 0)
+				c.mutex.Lock()
+				fail(c)
+				c.mutex.Unlock()
+				slowest := time.Duration(0)
+				for range 10 {
+					revision, start := c.put(), time.Now()
+					for len(c.late(revision)) > 0 && time.Since(start) < spreadTarget {
+						time.Sleep(10 * time.Millisecond)
+					}
+					slowest = max(slowest, time.Since(start))
+					is.Equal(len(c.late(revision)), 0) // instances without the change after 5 s
+					time.Sleep(137 * time.Millisecond)
+				}
+				t.Log("slowest:", slowest)
+				c.mutex.Lock()
+				violations := c.violations
+				c.mutex.Unlock()
+				is.Equal(violations, nil)
+			})
+		})
+	}
+}
+
+// TestSilentConnections guards against a long poll on a connection that went silent holding a change up,
+// also when this happens to all watchers at once.
+func TestSilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 16)
+		c.put()
+		c.startAll(1)
+		defer c.stopAll()
+		time.Sleep(3 * time.Second)
+		for _, n := range c.nodes {
+			// The calls under way get no reply; later ones work.
+			n.transport.Silence()
+		}
+		revision := c.put()
+		time.Sleep(spreadTarget)
+		is.Equal(len(c.late(revision)), 0)
+	})
+}
+
+// event is one step of a schedule.
+type event struct {
+	Kind  string
+	Node  int
+	Zones [2]int
+	Delay time.Duration
+}
+
+var drawEvent = rapid.Custom(func(t *rapid.T) event {
+	return event{
+		Kind:  rapid.SampledFrom([]string{"put", "put", "put", "down", "up", "behind", "cut-store", "cut-zones", "heal", "restart", "restart", "kill"}).Draw(t, "kind"),
+		Node:  rapid.IntRange(0, 7).Draw(t, "node"),
+		Zones: [2]int{rapid.IntRange(0, 2).Draw(t, "zone"), rapid.IntRange(0, 2).Draw(t, "zone")},
+		Delay: time.Duration(rapid.IntRange(0, 3000).Draw(t, "delay")) * time.Millisecond,
+	}
+})
+
+func (c *cluster) apply(e event) {
+	zones := []fleet.ZoneID{"a", "b", "c"}
+	switch e.Kind {
+	case "put":
+		c.put()
+	case "down":
+		c.store.SetFaults(store.Faults{Down: true})
+	case "up":
+		c.store.SetFaults(store.Faults{})
+	case "behind":
+		c.store.SetFaults(store.Faults{Behind: uint64(1 + e.Node%3)})
+	case "cut-store":
+		for _, n := range c.nodes {
+			if n.entry.Zone == zones[e.Zones[0]] {
+				n.transport.Cut.Store(true)
+			}
+		}
+	case "cut-zones":
+		if e.Zones[0] != e.Zones[1] {
+			c.mutex.Lock()
+			c.cut[[2]fleet.ZoneID{zones[e.Zones[0]], zones[e.Zones[1]]}] = true
+			c.mutex.Unlock()
+		}
+	case "heal":
+		c.heal()
+	case "restart":
+		c.nodes[e.Node].start(uint64(e.Node) * 7)
+	case "kill":
+		c.nodes[e.Node].kill()
+	}
+}
+
+// TestNeverReverts guards against an instance that goes back to an older configuration, that has another
+// text than the store at a revision, that is ready with less than its sources had, and that is not up to
+// date 5 s after the end of all failures.
+func TestNeverReverts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		events := rapid.SliceOfN(drawEvent, 1, 25).Draw(rt, "events")
+		var violations []string
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 8)
+			c.put()
+			c.startAll(3)
+			for _, e := range events {
+				time.Sleep(e.Delay)
+				c.apply(e)
+			}
+			c.heal()
+			for i, n := range c.nodes {
+				if n.running.Load() == nil {
+					n.start(uint64(i))
+				}
+			}
+			last := c.store.Entry(configuration.Key).Revision
+			time.Sleep(spreadTarget)
+			if late := c.late(last); len(late) > 0 {
+				c.violate("%v without revision %d after %s", late, last, spreadTarget)
+			}
+			c.stopAll()
+			c.mutex.Lock()
+			violations = c.violations
+			c.mutex.Unlock()
+		})
+		if len(violations) > 0 {
+			rt.Fatalf("%v", violations)
+		}
+	})
+}
+
+// TestPlatformCalls guards against calls to the store that grow with the number of instances.
+func TestPlatformCalls(t *testing.T) {
+	counts := make(map[int]uint64)
+	for _, size := range []int{4, 16, 64} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, size)
+			c.put()
+			c.startAll(1)
+			defer c.stopAll()
+			time.Sleep(5 * time.Second)
+			before := total(c.store.Calls())
+			for range 10 {
+				c.put()
+				time.Sleep(6 * time.Second)
+			}
+			counts[size] = total(c.store.Calls()) - before
+			is.New(t).Equal(len(c.late(c.store.Entry(configuration.Key).Revision)), 0)
+		})
+	}
+	t.Log("calls in 60 s with 10 changes:", counts)
+	// Four instances have four watchers, larger fleets six; each makes one call in 2 s and one a change.
+	for size, watchers := range map[int]uint64{4: 4, 16: 6, 64: 6} {
+		is.New(t).True(counts[size] <= watchers*(60/2+10))
+	}
+}
+
+func total(calls map[string]uint64) uint64 {
+	sum := uint64(0)
+	for _, count := range calls {
+		sum += count
+	}
+	return sum
+}
+
+// TestHolder guards against adopting by anything but a higher revision, and against a document that
+// cannot be read replacing one that can.
+func TestHolder(t *testing.T) {
+	is := is.New(t)
+	holder := configuration.NewHolder(nil)
+	good := []byte(catalogue.New(nil).WithZoneOut("a", true).Format())
+	adopt := func(key string, revision uint64, text []byte) bool {
+		adopted, _ := holder.Adopt(configuration.Document{Key: key, Revision: revision, Text: text}, configuration.Source{})
+		return adopted
+	}
+	is.True(adopt(configuration.IndexPrefix+"search", 9, []byte("{}")))
+	is.Equal(holder.Current(), nil) // index versions alone are not a configuration
+	is.True(adopt(configuration.Key, 5, good))
+	is.True(!adopt(configuration.Key, 5, []byte(catalogue.New(nil).Format())))
+	is.True(!adopt(configuration.Key, 4, good))
+	is.True(!adopt(configuration.Key, 6, []byte("[service")))
+	is.Equal(holder.Rejected(), uint64(1))
+	is.True(holder.Current().Catalogue.ZoneOut("a"))
+	is.Equal(holder.Current().Revision, uint64(5))
+	is.Equal(holder.Current().Indexes["search"].Revision, uint64(9))
+	is.True(!adopt("other", 10, good))
+	newer := holder.Newer(configuration.Revisions{configuration.Key: 4, configuration.IndexPrefix + "search": 9})
+	is.True(slices.ContainsFunc(newer, func(d configuration.Document) bool { return d.Key == configuration.Key }) && len(newer) == 1)
+}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -34,6 +34,8 @@
 	Down bool `json:"down"`
 	// SlowMillis delays every answer.
 	SlowMillis int64 `json:"slow-millis"`
+	// SlowWriteMillis delays writes by that much more.
+	SlowWriteMillis int64 `json:"slow-write-millis"`
 	// LoseReplies is the number of next writes that take effect and get no answer.
 	LoseReplies int `json:"lose-replies"`
 	// DropWrites is the number of next writes that get no answer and do not take effect.
@@ -160,7 +162,12 @@
 		if faults.Down {
 			panic(http.ErrAbortHandler)
 		}
-		if faults.SlowMillis > 0 && !pause(request.Context(), time.Duration(faults.SlowMillis)*time.Millisecond) {
+		ctx, delay := request.Context(), faults.SlowMillis
+		if kind == "put" {
+			// A slow write takes effect also when its caller has given up.
+			ctx, delay = context.WithoutCancel(ctx), delay+faults.SlowWriteMillis
+		}
+		if delay > 0 && !pause(ctx, time.Duration(delay)*time.Millisecond) {
 			return
 		}
 		next(reply, request)
