--- a/internal/catalogue/parse_test.go
+++ b/internal/catalogue/parse_test.go
@@ -46,7 +46,7 @@
 		"key twice":       {strings.Replace(valid, "slots = 3", "slots = 3\nslots = 4", 1), []string{"slots: the key occurs 2 times"}},
 		"missing":         {strings.Replace(valid, "slots = 3\n", "", 1), []string{"slots: the key is missing; allowed: a whole number from 1 to 1000"}},
 		"no format":       {strings.Replace(valid, "format = 1", "", 1), []string{"format: the key is missing; allowed: 1"}},
-		"not a line":      {valid + "slots\n\"\"\"\n", []string{`line 22 is not readable: "slots"`, "line 23 is not readable"}},
+		"not a line":      {valid + "slots\n\"\"\"\n", []string{"f: line 22 = slots: the line is not readable", "line 23 = \"\"\": the line"}},
 		"several": {
 			strings.NewReplacer("slots = 3", "slots = 0", "140ms", "140", "0.95", "NaN", "interactive", "fast").Replace(valid),
 			[]string{"class = fast: not one of", "slots = 0: out of range", "deadline = 140: not a duration", "coverage-floor = NaN: not a number"},
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -194,9 +194,11 @@
 func (o *operator) await(ctx context.Context, result *accepted) error {
 	for {
 		entries, err := o.entries(ctx)
-		if err == nil {
+		reports := o.reports(ctx, entries)
+		// A round that the end of the time cut short says nothing about the instances.
+		if err == nil && ctx.Err() == nil {
 			result.Confirmed, result.Missing = nil, nil
-			for _, r := range o.reports(ctx, entries) {
+			for _, r := range reports {
 				if r.Error == "" && r.Revision >= result.Revision {
 					result.Confirmed = append(result.Confirmed, r.Instance)
 				} else {
@@ -209,10 +211,10 @@
 		}
 		select {
 		case <-ctx.Done():
-			if err != nil {
-				return coded(exitNotEverywhere, "accepted at revision %d; not confirmed: %v", result.Revision, err)
+			if len(result.Missing) > 0 {
+				return coded(exitNotEverywhere, "accepted at revision %d; not confirmed by %v", result.Revision, result.Missing)
 			}
-			return coded(exitNotEverywhere, "accepted at revision %d; not confirmed by %v", result.Revision, result.Missing)
+			return coded(exitNotEverywhere, "accepted at revision %d; no entry instance could be asked: %v", result.Revision, err)
 		case <-time.After(awaitInterval):
 		}
 	}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -39,7 +39,7 @@
 	}
 	for _, r := range reports {
 		if r.Error != "" {
-			return coded(exitPlatform, "not every entry instance can be reached")
+			return coded(exitPlatform, "not every entry instance gave a report")
 		}
 	}
 	return nil
@@ -60,7 +60,7 @@
 	fmt.Fprintln(table, "INSTANCE\tZONE\tREADY\tREVISION\tSINCE\tWRITE ID")
 	for _, r := range reports {
 		if r.Error != "" {
-			fmt.Fprintf(table, "%s\t%s\tunreachable\t-\t-\t-\n", r.Instance, r.Zone)
+			fmt.Fprintf(table, "%s\t%s\tno report\t-\t-\t%s\n", r.Instance, r.Zone, r.Error)
 			continue
 		}
 		fmt.Fprintf(table, "%s\t%s\t%t\t%d\t%s\t%s\n", r.Instance, r.Zone, r.Ready, r.Revision, r.RevisionSince, r.WriteID)
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -32,14 +32,17 @@
 func (f Fault) String() string {
 	var line strings.Builder
 	line.WriteString(f.File)
+	if f.Section != "" || f.Key != "" {
+		line.WriteString(":")
+	}
 	if f.Section != "" {
-		fmt.Fprintf(&line, ": [%s]", f.Section)
+		fmt.Fprintf(&line, " [%s]", f.Section)
 	}
 	if f.Key != "" {
 		fmt.Fprintf(&line, " %s", f.Key)
-		if f.Value != "" {
-			fmt.Fprintf(&line, " = %s", f.Value)
-		}
+	}
+	if f.Value != "" {
+		fmt.Fprintf(&line, " = %s", f.Value)
 	}
 	fmt.Fprintf(&line, ": %s", f.Problem)
 	if f.Allowed != "" {
@@ -133,7 +136,7 @@
 		case sectionLine.MatchString(trimmed):
 		case keyLine.MatchString(trimmed) && !quotedValue.MatchString(trimmed):
 		default:
-			r.Add("", "", "", fmt.Sprintf("line %d is not readable: %q", i+1, shortened(trimmed)),
+			r.Add("", fmt.Sprintf("line %d", i+1), shortened(trimmed), "the line is not readable",
 				"[section], key = value on one line, or a comment after ; or #")
 			lines[i] = ""
 		}
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -99,9 +99,10 @@
 	if err != nil {
 		return 0, verdict.New(verdict.NotRun, verdict.InvalidRequest, "%v", err)
 	}
-	status, body, err := c.send(kind, request)
-	if err != nil {
-		return 0, err
+	status, body, failure := c.send(kind, request)
+	if failure != nil {
+		// A read has no effect, so that there is nothing that may have run.
+		return 0, failure.WithVerdict(verdict.NotRun)
 	}
 	if status != http.StatusOK {
 		return status, verdict.New(verdict.NotRun, verdict.ServerError, "the platform answered %d to %s", status, kind)
@@ -114,7 +115,7 @@
 
 // send makes one call. The error's verdict is NotRun only where no connection was made: after that, a
 // byte of the request may have arrived.
-func (c *caller) send(kind string, request *http.Request) (int, []byte, error) {
+func (c *caller) send(kind string, request *http.Request) (int, []byte, *verdict.Error) {
 	c.count(kind)
 	reply, err := c.options.Client.Do(request)
 	if err != nil {
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -106,9 +106,9 @@
 	}
 	// Without GetBody net/http cannot send the body a second time on its own.
 	request.GetBody = nil
-	status, body, err := s.send("put", request)
-	if err != nil {
-		return 0, err
+	status, body, failure := s.send("put", request)
+	if failure != nil {
+		return 0, failure
 	}
 	var written Written
 	switch {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,11 +82,22 @@
 		section.ReportUnknown(keys...)
 	}
 	if faults := reader.Faults(); len(faults) > 0 {
-		return Settings{}, faults
+		return Settings{}, withoutSecrets(faults)
 	}
 	return s, nil
 }
 
+// withoutSecrets drops the values that may be a key: those of the section keys, and of lines and keys that
+// belong to no section.
+func withoutSecrets(faults document.Faults) document.Faults {
+	for i := range faults {
+		if faults[i].Section == "keys" || faults[i].Section == "" {
+			faults[i].Value = ""
+		}
+	}
+	return faults
+}
+
 func (s *Settings) readInstance(reader *document.Reader) {
 	instance := reader.Section("instance")
 	s.Instance = fleet.InstanceID(instance.Key("name"))
