Ask for no refused document twice, and replace an unreadable one on request

Cause: a document that an instance cannot read was asked for again at every heartbeat of a peer that has it; a broken document in the store could not be replaced by apply; each start read all documents twice; Newer returned documents in random order, so that the highest revision did not tell whether a holder has everything below it. Ruled out: comparing the revisions of all documents with each peer, because the message grows with the number of applications.

--- a/internal/command/apply.go
+++ b/internal/command/apply.go
@@ -17,7 +17,8 @@
 
 type applyOptions struct {
 	access
-	Wait bool `long:"wait" description:"wait until every entry instance has the change in force"`
+	Wait           bool `long:"wait" description:"wait until every entry instance has the change in force"`
+	OverUnreadable bool `long:"over-unreadable" description:"replace a catalogue in the store that cannot be read; zones and instances that it takes out are lost"`
 }
 
 func (a *applyOptions) run(ctx context.Context, environment Environment, arguments []string) error {
@@ -34,7 +35,9 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
-	return o.change(bounded, replacement(proposed), a.Wait)
+	edit := replacement(proposed)
+	edit.OverUnreadable = a.OverUnreadable
+	return o.change(bounded, edit, a.Wait)
 }
 
 // replacement returns the edit that puts a file in the place of the store's document. A file that get
--- a/internal/command/cases_test.go
+++ b/internal/command/cases_test.go
@@ -141,7 +141,7 @@
 }
 
 // prepare runs a line that changes the stage: "store FAULTS", "list FAULTS", "stuck INSTANCE",
-// "write FILE TEXT" with \n for line ends, or "replace FILE OLD => NEW".
+// "put DOCUMENT", "write FILE TEXT" with \n for line ends, or "replace FILE OLD => NEW".
 func (s *stage) prepare(line string) {
 	verb, rest, _ := strings.Cut(line, " ")
 	switch verb {
@@ -155,6 +155,8 @@
 		s.list.SetFaults(faults)
 	case "stuck":
 		s.stuck[rest] = true
+	case "put":
+		s.store.Put(configuration.Key, rest)
 	case "write":
 		file, text, _ := strings.Cut(rest, " ")
 		s.files[file] = strings.ReplaceAll(text, `\n`, "\n")
--- a/internal/configuration/editor.go
+++ b/internal/configuration/editor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -23,6 +24,9 @@
 	// Base is the write id of the document that the operator started from; empty stands for whatever
 	// is in the store. Another write id in the store is a conflict.
 	Base string
+	// OverUnreadable replaces a document that cannot be read as if there were none; otherwise it is an
+	// error, because its zones and instances that are out would be brought back.
+	OverUnreadable bool
 }
 
 // Accepted is a change that is known to have taken effect.
@@ -85,7 +89,8 @@
 	return &Editor{store: store, random: random}
 }
 
-// Read returns the catalogue in the store; a store without one gives an empty catalogue.
+// Read returns the catalogue in the store; a store without one gives an empty catalogue. A document that
+// cannot be read gives an error that holds its catalogue.Faults, with an empty catalogue and its revision.
 func (e *Editor) Read(ctx context.Context) (catalogue.Catalogue, uint64, error) {
 	found, err := e.store.Get(ctx, Key)
 	if err != nil {
@@ -96,7 +101,7 @@
 	}
 	parsed, faults := catalogue.Parse(Key, string(found.Text))
 	if err := faults.Err(); err != nil {
-		return catalogue.Catalogue{}, 0, fmt.Errorf("the store's configuration at revision %d cannot be read: %w", found.Revision, err)
+		return catalogue.New(nil), found.Revision, fmt.Errorf("the store's configuration at revision %d cannot be read: %w", found.Revision, err)
 	}
 	return parsed, found.Revision, nil
 }
@@ -119,7 +124,7 @@
 	rereads := 0
 	for least := uint64(0); ; {
 		current, revision, err := e.Read(ctx)
-		if err != nil {
+		if _, unreadable := errors.AsType[catalogue.Faults](err); err != nil && !(unreadable && edit.OverUnreadable) {
 			return Accepted{}, err
 		}
 		if first && !knowsBase(current, edit.Base) {
--- a/internal/configuration/holder.go
+++ b/internal/configuration/holder.go
@@ -1,7 +1,10 @@
 package configuration
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -61,7 +64,10 @@
 	current atomic.Pointer[View]
 	mutex   sync.Mutex
 	// latest holds the adopted documents by key.
-	latest   map[string]Document
+	latest map[string]Document
+	// refused holds the highest revision by key that could not be read. The same revision has the same
+	// text everywhere, so that it is neither checked nor asked for again.
+	refused  Revisions
 	changed  chan struct{}
 	check    func(Document) error
 	rejected atomic.Uint64
@@ -70,7 +76,7 @@
 // NewHolder returns a holder without a configuration. checkIndex refuses index documents that cannot be
 // used; nil accepts all.
 func NewHolder(checkIndex func(Document) error) *Holder {
-	return &Holder{latest: make(map[string]Document), changed: make(chan struct{}), check: checkIndex}
+	return &Holder{latest: make(map[string]Document), refused: make(Revisions), changed: make(chan struct{}), check: checkIndex}
 }
 
 // Current returns the configuration in force, nil until one is known.
@@ -97,7 +103,7 @@
 func (h *Holder) Adopt(document Document, source Source) (bool, error) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if document.Revision <= h.latest[document.Key].Revision {
+	if document.Revision <= max(h.latest[document.Key].Revision, h.refused[document.Key]) {
 		return false, nil
 	}
 	next := View{Indexes: make(map[catalogue.ApplicationID]Index)}
@@ -124,6 +130,7 @@
 
 func (h *Holder) reject(document Document, err error) error {
 	h.rejected.Add(1)
+	h.refused[document.Key] = document.Revision
 	return fmt.Errorf("%s at revision %d cannot be used: %w", document.Key, document.Revision, err)
 }
 
@@ -143,18 +150,20 @@
 	h.changed = make(chan struct{})
 }
 
-// Revisions returns the revision of every document in force by its key.
+// Revisions returns the highest revision of every document that was adopted or could not be read.
 func (h *Holder) Revisions() Revisions {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	known := make(Revisions, len(h.latest))
+	known := maps.Clone(h.refused)
 	for key, document := range h.latest {
-		known[key] = document.Revision
+		known[key] = max(known[key], document.Revision)
 	}
 	return known
 }
 
-// Newer returns the documents that are newer than the known ones; it answers a peer that asks.
+// Newer returns the documents that are newer than the known ones; it answers a peer that asks. They are in
+// ascending order of revision: a holder that adopts them in this order has everything up to its highest
+// revision at any moment, so that comparing the highest revisions tells whether a peer has more.
 func (h *Holder) Newer(known Revisions) []Document {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -164,6 +173,7 @@
 			newer = append(newer, document)
 		}
 	}
+	slices.SortFunc(newer, func(a, b Document) int { return cmp.Compare(a.Revision, b.Revision) })
 	return newer
 }
 
--- a/internal/configuration/spreader.go
+++ b/internal/configuration/spreader.go
@@ -52,6 +52,9 @@
 	started    chan struct{}
 	heard      chan fleet.InstanceID
 	storeAlive atomic.Bool
+	// position is the highest revision that the store gave. It is used by the first round and then by
+	// the watch only.
+	position uint64
 }
 
 // NewSpreader returns a spreader that does nothing until Run.
@@ -109,7 +112,7 @@
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		if documents, err := s.store.Watch(bounded, Prefix, 0, 0); err == nil {
-			s.adopt(documents, Source{Origin: FromStore})
+			s.adoptFromStore(documents)
 		}
 	})
 	for _, peer := range append(append([]fleet.InstanceID(nil), plan.Near...), plan.Far...) {
@@ -118,6 +121,15 @@
 	group.Wait()
 }
 
+// adoptFromStore moves the position by the documents, not by the store's own revision: a store that
+// answers from an older state then cannot make the watch skip a document.
+func (s *Spreader) adoptFromStore(documents []Document) {
+	for _, document := range documents {
+		s.position = max(s.position, document.Revision)
+	}
+	s.adopt(documents, Source{Origin: FromStore})
+}
+
 func (s *Spreader) adopt(documents []Document, source Source) {
 	for _, document := range documents {
 		adopted, err := s.holder.Adopt(document, source)
@@ -137,11 +149,8 @@
 	}
 }
 
-// watch polls the store while the plan says so. The position is the highest revision that the store
-// gave, not the store's own revision: a store that answers from an older state then cannot make the
-// watch skip a document.
+// watch polls the store while the plan says so.
 func (s *Spreader) watch(ctx context.Context) {
-	position := uint64(0)
 	backoff := watchBackoffLeast
 	for ctx.Err() == nil {
 		if !s.guide.Plan().Watch {
@@ -158,7 +167,7 @@
 			wait = 0
 		}
 		bounded, cancel := context.WithTimeout(ctx, wait+callTimeout)
-		documents, err := s.store.Watch(bounded, Prefix, position, wait)
+		documents, err := s.store.Watch(bounded, Prefix, s.position, wait)
 		cancel()
 		s.storeAlive.Store(err == nil)
 		if err != nil {
@@ -169,10 +178,7 @@
 			continue
 		}
 		backoff = watchBackoffLeast
-		for _, document := range documents {
-			position = max(position, document.Revision)
-		}
-		s.adopt(documents, Source{Origin: FromStore})
+		s.adoptFromStore(documents)
 	}
 }
 
--- a/internal/configuration/spreader_test.go
+++ b/internal/configuration/spreader_test.go
@@ -235,11 +235,16 @@
 	is.True(!adopt(configuration.Key, 5, []byte(catalogue.New(nil).Format())))
 	is.True(!adopt(configuration.Key, 4, good))
 	is.True(!adopt(configuration.Key, 6, []byte("[service")))
-	is.Equal(holder.Rejected(), uint64(1))
+	is.True(!adopt(configuration.Key, 6, []byte("[service")))
+	is.Equal(holder.Rejected(), uint64(1))                     // the same revision is not checked again
+	is.Equal(holder.Revisions()[configuration.Key], uint64(6)) // and not asked for again
 	is.True(holder.Current().Catalogue.ZoneOut("a"))
 	is.Equal(holder.Current().Revision, uint64(5))
 	is.Equal(holder.Current().Indexes["search"].Revision, uint64(9))
 	is.True(!adopt("other", 10, good))
-	newer := holder.Newer(configuration.Revisions{configuration.Key: 4, configuration.IndexPrefix + "search": 9})
+	is.True(adopt(configuration.IndexPrefix+"print", 7, []byte("{}")))
+	all := holder.Newer(nil)
+	is.True(slices.IsSortedFunc(all, func(a, b configuration.Document) int { return int(a.Revision) - int(b.Revision) }) && len(all) == 3)
+	newer := holder.Newer(configuration.Revisions{configuration.Key: 4, configuration.IndexPrefix + "search": 9, configuration.IndexPrefix + "print": 7})
 	is.True(slices.ContainsFunc(newer, func(d configuration.Document) bool { return d.Key == configuration.Key }) && len(newer) == 1)
 }
