--- a/internal/configuration/editor.go
+++ b/internal/configuration/editor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -23,6 +24,9 @@
 	// Base is the write id of the document that the operator started from; empty stands for whatever
 	// is in the store. Another write id in the store is a conflict.
 	Base string
+	// OverUnreadable replaces a document that cannot be read as if there were none; otherwise it is an
+	// error, because its zones and instances that are out would be brought back.
+	OverUnreadable bool
 }
 
 // Accepted is a change that is known to have taken effect.
@@ -70,6 +74,10 @@
 	return e.Err
 }
 
+// staleRereads is the number of further reads when the store does not know the base of an edit, which
+// may be because it answers from an older state.
+const staleRereads = 20
+
 // Editor changes the catalogue in the store.
 type Editor struct {
 	store  Store
@@ -81,7 +89,8 @@
 	return &Editor{store: store, random: random}
 }
 
-// Read returns the catalogue in the store; a store without one gives an empty catalogue.
+// Read returns the catalogue in the store; a store without one gives an empty catalogue. A document that
+// cannot be read gives an error that holds its catalogue.Faults, with an empty catalogue and its revision.
 func (e *Editor) Read(ctx context.Context) (catalogue.Catalogue, uint64, error) {
 	found, err := e.store.Get(ctx, Key)
 	if err != nil {
@@ -92,7 +101,7 @@
 	}
 	parsed, faults := catalogue.Parse(Key, string(found.Text))
 	if err := faults.Err(); err != nil {
-		return catalogue.Catalogue{}, 0, fmt.Errorf("the store's configuration at revision %d cannot be read: %w", found.Revision, err)
+		return catalogue.New(nil), found.Revision, fmt.Errorf("the store's configuration at revision %d cannot be read: %w", found.Revision, err)
 	}
 	return parsed, found.Revision, nil
 }
@@ -112,11 +121,19 @@
 	first := true
 	var base catalogue.Catalogue
 	var baseRevision uint64
+	rereads := 0
 	for least := uint64(0); ; {
 		current, revision, err := e.Read(ctx)
-		if err != nil {
+		if _, unreadable := errors.AsType[catalogue.Faults](err); err != nil && !(unreadable && edit.OverUnreadable) {
 			return Accepted{}, err
 		}
+		if first && !knowsBase(current, edit.Base) {
+			if rereads++; rereads <= staleRereads && e.pause(ctx) == nil {
+				continue
+			}
+			return Accepted{}, verdict.New(verdict.NotRun, verdict.BadAnswer,
+				"the store does not know the write id %s that the document starts from: it answers from an older state, or the document is from another store", edit.Base)
+		}
 		if revision < least {
 			if err := e.pause(ctx); err != nil {
 				return Accepted{}, verdict.New(verdict.NotRun, verdict.DeadlinePassed, "the store answers from before revision %d", least)
@@ -150,6 +167,12 @@
 	return ""
 }
 
+// knowsBase tells whether the catalogue is the base or came after it. A full list of ids may have lost it.
+func knowsBase(current catalogue.Catalogue, base string) bool {
+	ids := current.WriteIDs()
+	return base == "" || len(ids) == catalogue.MaxWriteIDs || slices.Contains(ids, base)
+}
+
 func (e *Editor) prepare(current catalogue.Catalogue, revision uint64, edit Edit) (write, error) {
 	changed, err := edit.Apply(current)
 	if err != nil {
