Add backend: connections to backend servers with true verdicts

The owner of a backend server must know whether a byte of a request was written, because "not run" rests on it. http.Transport was ruled out: it resends on its own and hides which connection carried a request.

--- /dev/null
+++ b/internal/backend/conn.go
@@ -0,0 +1,124 @@
+package backend
+
+// One connection carries one request at a time. The outcome of an exchange says how far it came, because
+// the verdict depends on whether a byte was written and on whether a byte of an answer was read.
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+)
+
+// readBuffer holds a usual answer whole, so that one read fetches it.
+const readBuffer = 4 << 10
+
+var errTooLong = errors.New("answer is longer than 8 MiB")
+
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// lastRead is when the last byte was read, or when the connection was opened.
+	lastRead time.Time
+	reused   bool
+}
+
+func newConn(raw net.Conn) *conn {
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), lastRead: time.Now()}
+}
+
+func (c *conn) close() {
+	_ = c.Conn.Close()
+}
+
+// exchange is what happened to one request on one connection.
+type exchange struct {
+	written int
+	// began is set once a byte of the answer was read.
+	began  bool
+	status int
+	body   []byte
+	// closing is set when the connection cannot carry another request.
+	closing bool
+	err     error
+}
+
+// write sends the request in one call, so that the count of bytes is the kernel's.
+func (c *conn) write(request []byte, deadline time.Time) (int, error) {
+	if err := c.SetDeadline(deadline); err != nil {
+		return 0, err
+	}
+	return c.Write(request)
+}
+
+// read fetches one whole response. A response that ends early is an error.
+func (c *conn) read(done *exchange) {
+	if _, err := c.reader.Peek(1); err != nil {
+		done.err = err
+		return
+	}
+	done.began = true
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		done.err = err
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	done.status = response.StatusCode
+	if done.body, done.err = readBody(response); done.err != nil {
+		return
+	}
+	c.lastRead = time.Now()
+	done.closing = response.Close || c.reader.Buffered() > 0
+}
+
+func readBody(response *http.Response) ([]byte, error) {
+	length := response.ContentLength
+	if length > maxAnswerBytes {
+		return nil, errTooLong
+	}
+	if length >= 0 {
+		body := make([]byte, length)
+		_, err := io.ReadFull(response.Body, body)
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errTooLong
+	}
+	return body, err
+}
+
+// isOpen looks without waiting whether the peer has closed the idle connection or sent bytes that nobody
+// asked for. It finds most stale connections before a byte is written, which keeps the verdict at "not run".
+func (c *conn) isOpen() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	system, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Control(func(descriptor uintptr) {
+		var one [1]byte
+		_, _, failure := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = failure == syscall.EAGAIN
+	})
+	return err == nil && open
+}
+
+func isTimeout(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
