--- /dev/null
+++ b/internal/httpapi/httpapi_test.go
@@ -0,0 +1,152 @@
+package httpapi
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/medlarlatch/medlarlatch/internal/telemetry"
+	"github.com/medlarlatch/medlarlatch/pkg/api"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+type fakeService struct {
+	refusal *api.Refusal
+	request Request
+}
+
+func (f *fakeService) Query(_ context.Context, request Request) (json.RawMessage, *api.Refusal) {
+	f.request = request
+	return json.RawMessage(`{"id":"q"}`), f.refusal
+}
+
+func (f *fakeService) Tickets(_ context.Context, count int) (api.Tickets, *api.Refusal) {
+	return api.Tickets{Tickets: make([]string, count)}, f.refusal
+}
+
+func newCallers(t *testing.T, service Service) http.Handler {
+	t.Helper()
+	metrics, err := telemetry.New("e1", "z1")
+	is.New(t).NoErr(err)
+	return NewCallers(service, metrics).Handler
+}
+
+func post(handler http.Handler, path, body string) *httptest.ResponseRecorder {
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
+	return recorder
+}
+
+// TestMalformed guards against malformed input reaching the engine, and against a refusal that does not tell
+// what to correct.
+func TestMalformed(t *testing.T) {
+	const query = "/v1/applications/a/query"
+	cases := map[string]struct{ path, body, field string }{
+		"not JSON":          {query, `{`, "body"},
+		"array":             {query, `[]`, "body"},
+		"two objects":       {query, `{"id":"q","deadline-millis":1,"query":1}{}`, "body"},
+		"too long":          {query, `{"id":"` + strings.Repeat("x", api.MaxBodyBytes) + `"}`, "body"},
+		"no id":             {query, `{"deadline-millis":1,"query":1}`, "id"},
+		"long id":           {query, `{"id":"` + strings.Repeat("x", 129) + `","deadline-millis":1,"query":1}`, "id"},
+		"id of wrong type":  {query, `{"id":5}`, "id"},
+		"zero deadline":     {query, `{"id":"q","deadline-millis":0,"query":1}`, "deadline-millis"},
+		"negative deadline": {query, `{"id":"q","deadline-millis":-1,"query":1}`, "deadline-millis"},
+		"deadline beyond":   {query, `{"id":"q","deadline-millis":99999999999999999999,"query":1}`, "deadline-millis"},
+		"no query":          {query, `{"id":"q","deadline-millis":1}`, "query"},
+		"null query":        {query, `{"id":"q","deadline-millis":1,"query":null}`, "query"},
+		"unknown key":       {query, `{"id":"q","deadline-millis":1,"query":1,"shard":[]}`, "shard"},
+		"shard twice":       {query, `{"id":"q","deadline-millis":1,"query":1,"shards":["a","a"]}`, "shards[1]"},
+		"long ticket":       {query, `{"id":"q","deadline-millis":1,"query":1,"ticket":"` + strings.Repeat("x", 257) + `"}`, "ticket"},
+		"no tickets":        {"/v1/tickets", `{"count":0}`, "count"},
+		"many tickets":      {"/v1/tickets", `{"count":1001}`, "count"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			recorder := post(newCallers(t, &fakeService{}), c.path, c.body)
+			check.Equal(recorder.Code, http.StatusBadRequest)
+			var refusal api.Refusal
+			check.NoErr(json.Unmarshal(recorder.Body.Bytes(), &refusal))
+			check.Equal(refusal.Field, c.field)
+			check.Equal(refusal.Reason, verdict.InvalidRequest)
+			check.Equal(refusal.Verdict, verdict.NotRun)
+		})
+	}
+}
+
+// TestHugeDeadline guards against an overflow that would turn a huge deadline into one in the past.
+func TestHugeDeadline(t *testing.T) {
+	check := is.New(t)
+	service := &fakeService{}
+	recorder := post(newCallers(t, service), "/v1/applications/a/query", `{"id":"q","deadline-millis":9223372036854775807,"query":1}`)
+	check.Equal(recorder.Code, http.StatusOK)
+	check.True(time.Until(service.request.Deadline) > 59*time.Minute)
+}
+
+// TestRefusalTellsWhenToComeBack guards against callers that retry at once because nothing told them when.
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	check := is.New(t)
+	service := &fakeService{refusal: &api.Refusal{Verdict: verdict.NotRun, Reason: verdict.Overloaded, RetryAfterMillis: 1200}}
+	recorder := post(newCallers(t, service), "/v1/applications/a/query", `{"id":"q","deadline-millis":10,"query":1}`)
+	check.Equal(recorder.Code, http.StatusServiceUnavailable)
+	check.Equal(recorder.Header().Get("Retry-After"), "2")
+}
+
+type fakeReporter struct{}
+
+func (fakeReporter) Ready() (bool, verdict.Reason) { return false, verdict.ZoneOut }
+func (fakeReporter) Status() Status                { return Status{Instance: "e1"} }
+func (fakeReporter) Burn() any                     { return struct{}{} }
+
+// TestOperatorKey guards against operators' pages that are readable without the key.
+func TestOperatorKey(t *testing.T) {
+	metrics, err := telemetry.New("e1", "z1")
+	is.New(t).NoErr(err)
+	cases := map[string]struct {
+		key, path, header string
+		status            int
+	}{
+		"no key given":    {"secret", "/v1/status", "", 401},
+		"wrong key":       {"secret", "/v1/status", "Bearer secre", 401},
+		"not bearer":      {"secret", "/v1/status", "secret", 401},
+		"right key":       {"secret", "/v1/status", "Bearer secret", 200},
+		"metrics":         {"secret", "/metrics", "", 401},
+		"metrics, key":    {"secret", "/metrics", "Bearer secret", 200},
+		"empty key":       {"", "/v1/status", "Bearer ", 401},
+		"health, no key":  {"secret", "/healthz", "", 200},
+		"not ready, open": {"secret", "/readyz", "", 503},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			handler := NewOperators(fakeReporter{}, metrics.Handler(), []byte(c.key)).Handler
+			request := httptest.NewRequest(http.MethodGet, c.path, nil)
+			request.Header.Set("Authorization", c.header)
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, request)
+			check.Equal(recorder.Code, c.status)
+		})
+	}
+}
+
+// FuzzParseQuery guards against a panic and against a query that breaks the documented limits.
+func FuzzParseQuery(f *testing.F) {
+	f.Add([]byte(`{"id":"q","deadline-millis":100,"query":{"bib":1},"shards":["a"],"ticket":"t"}`))
+	f.Add([]byte(`{"id":1}`))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		query, refusal := ParseQuery(body)
+		if refusal == nil && (query.ID == "" || len(query.ID) > 128 || query.DeadlineMillis <= 0 || !json.Valid(query.Query)) {
+			t.Fatalf("accepted %q", body)
+		}
+		if refusal != nil && (refusal.Field == "" || refusal.Verdict != verdict.NotRun) {
+			t.Fatalf("refusal of %q names no field", body)
+		}
+	})
+}
