Add entry, cmd/standin and the whole path as separate processes

Four entry instances in three zones, 40 backend servers, the store and the instance list run as processes on loopback; a query passes from the caller to 20 shards and back, and the answer is checked against the generated data.

--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/admission"
+	"github.com/medlarlatch/medlarlatch/internal/catalogue"
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/httpapi"
+	"github.com/medlarlatch/medlarlatch/internal/query"
+	"github.com/medlarlatch/medlarlatch/internal/snapshot"
+	"github.com/medlarlatch/medlarlatch/internal/ticket"
+	"github.com/medlarlatch/medlarlatch/pkg/api"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+// notReadyRetry is when a caller that came too early may come back; a new instance is ready within a second or so.
+const notReadyRetry = 500 * time.Millisecond
+
+// service answers callers.
+type service struct{ *Instance }
+
+// Query implements httpapi.Service.
+func (s service) Query(ctx context.Context, request httpapi.Request) (json.RawMessage, *api.Refusal) {
+	if request.Query.Ticket == "" {
+		return s.execute(ctx, request, false)
+	}
+	bounded, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	outcome := s.tickets.Route(bounded, ticket.Call{
+		Ticket: request.Query.Ticket, Digest: ticket.DigestOf(request.Application, request.Query), Application: request.Application,
+		Body: request.Body, Deadline: request.Deadline,
+	})
+	if outcome.Err == nil {
+		return outcome.Answer, nil
+	}
+	return nil, &api.Refusal{
+		ID: request.Query.ID, Verdict: outcome.Err.Verdict, Reason: outcome.Err.Reason, Detail: outcome.Err.Detail,
+		RetryAfterMillis: outcome.Err.RetryAfter.Milliseconds(),
+	}
+}
+
+// Tickets implements httpapi.Service.
+func (s service) Tickets(_ context.Context, count int) (api.Tickets, *api.Refusal) {
+	if s.leaving.Load() {
+		// A ticket of an incarnation that is about to end would be of no use.
+		return api.Tickets{}, &api.Refusal{
+			Verdict: verdict.NotRun, Reason: verdict.Leaving, Detail: "this instance is leaving", RetryAfterMillis: notReadyRetry.Milliseconds(),
+		}
+	}
+	issued, valid, err := s.runner.Issue(count)
+	if err != nil {
+		return api.Tickets{}, &api.Refusal{Verdict: verdict.NotRun, Reason: verdict.Overloaded, Detail: err.Error(), RetryAfterMillis: 1000}
+	}
+	return api.Tickets{Tickets: issued, ValidMillis: valid.Milliseconds()}, nil
+}
+
+// execute admits and runs a query in this instance.
+func (i *Instance) execute(ctx context.Context, request httpapi.Request, once bool) (json.RawMessage, *api.Refusal) {
+	view := i.holder.Current()
+	if view == nil || !i.listed.Load() {
+		return nil, &api.Refusal{
+			ID: request.Query.ID, Verdict: verdict.NotRun, Reason: verdict.NotReady,
+			Detail: "no configuration or no instance list yet", RetryAfterMillis: notReadyRetry.Milliseconds(),
+		}
+	}
+	class := catalogue.Interactive
+	if services := view.Catalogue.Application(catalogue.ApplicationID(request.Application)); len(services) > 0 {
+		entry, _ := view.Catalogue.Service(services[0])
+		class = entry.Class
+	}
+	permit, failure := i.admission.Admit(class, request.Deadline)
+	if failure != nil {
+		return nil, &api.Refusal{
+			ID: request.Query.ID, Verdict: failure.Verdict, Reason: failure.Reason, Detail: failure.Detail,
+			RetryAfterMillis: failure.RetryAfter.Milliseconds(),
+		}
+	}
+	shards := make([]snapshot.ShardID, len(request.Query.Shards))
+	for n, shard := range request.Query.Shards {
+		shards[n] = snapshot.ShardID(shard)
+	}
+	answer, refusal := i.engine.Run(ctx, query.Request{
+		Application: catalogue.ApplicationID(request.Application), ID: request.Query.ID, Deadline: request.Deadline,
+		Query: request.Query.Query, Shards: shards, AtMostOnce: once,
+	})
+	permit.Done(outcomeOf(refusal))
+	if refusal != nil {
+		return nil, refusal
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		return nil, &api.Refusal{ID: request.Query.ID, Verdict: verdict.Ran, Reason: verdict.ServerError, Detail: err.Error()}
+	}
+	return body, nil
+}
+
+func outcomeOf(refusal *api.Refusal) admission.Outcome {
+	switch {
+	case refusal == nil:
+		return admission.Completed
+	case refusal.Reason == verdict.Overloaded || refusal.Reason == verdict.DeadlinePassed:
+		return admission.Overloaded
+	default:
+		return admission.Failed
+	}
+}
+
+// executeTicket runs a ticketed request as this instance's own query.
+func (i *Instance) executeTicket(ctx context.Context, call ticket.Call) ticket.Outcome {
+	parsed, refusal := httpapi.ParseQuery(call.Body)
+	var answer json.RawMessage
+	if refusal == nil {
+		answer, refusal = i.execute(ctx, httpapi.Request{
+			Application: call.Application, Query: parsed, Body: call.Body, Deadline: call.Deadline,
+		}, true)
+	}
+	if refusal == nil {
+		return ticket.Outcome{Answer: answer}
+	}
+	failure := verdict.New(refusal.Verdict, refusal.Reason, "%s", refusal.Detail)
+	return ticket.Outcome{Err: failure.WithRetryAfter(time.Duration(refusal.RetryAfterMillis) * time.Millisecond)}
+}
+
+// ticketRunner runs this instance's tickets for peers.
+type ticketRunner struct{ *Instance }
+
+// RunTicket implements peer.TicketRunner. The request counts as in progress, so that a shutdown waits for it.
+func (t ticketRunner) RunTicket(ctx context.Context, from fleet.InstanceID, call ticket.Call) ticket.Outcome {
+	t.parts.inFlight.Add(1)
+	defer t.parts.inFlight.Add(-1)
+	return t.tickets.RunTicket(ctx, from, call)
+}
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/httpapi"
+	"github.com/medlarlatch/medlarlatch/internal/replica"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+// reporter tells operators about the instance.
+type reporter struct{ *Instance }
+
+// Ready implements httpapi.Reporter.
+func (r reporter) Ready() (bool, verdict.Reason) {
+	entries := r.catalogue()
+	switch {
+	case r.leaving.Load():
+		return false, verdict.Leaving
+	case !r.spreader.Ready() || !r.listed.Load():
+		return false, verdict.NotReady
+	case entries.ZoneOut(r.settings.Zone):
+		return false, verdict.ZoneOut
+	case entries.InstanceOut(r.settings.Instance):
+		return false, verdict.InstanceOut
+	}
+	return true, verdict.None
+}
+
+// Burn implements httpapi.Reporter. The package for service-level objectives is not written yet.
+func (r reporter) Burn() any { return nil }
+
+// Status implements httpapi.Reporter.
+func (r reporter) Status() httpapi.Status {
+	ready, reason := r.Ready()
+	state := r.admission.State()
+	counters, sent := r.engine.Counters(), r.transport.Stats()
+	status := httpapi.Status{
+		Instance: string(r.settings.Instance), Zone: string(r.settings.Zone), Region: string(r.settings.Region),
+		Incarnation: r.runner.Incarnation().String(), Started: r.started, Ready: ready, Reason: reason,
+		Indexes:   make(map[string][]uint64),
+		Admission: httpapi.AdmissionStatus{Bound: state.Bound, InFlight: state.InFlight},
+		Refusals:  r.telemetry.Refusals(),
+		Load: httpapi.LoadStatus{
+			Queries: counters.Queries.Load(), Firsts: counters.Firsts.Load(), Hedges: counters.Hedges.Load(),
+			Retries: counters.Retries.Load(), Silent: sent.Silent,
+		},
+	}
+	if view := r.holder.Current(); view != nil {
+		status.Configuration = httpapi.ConfigurationStatus{
+			Revision: view.Revision, Since: view.Since, Origin: view.Source.Origin.String(), StoreAlive: r.spreader.StoreAlive(),
+		}
+		for application, index := range newIndexes().of(view) {
+			for _, version := range index.Versions() {
+				status.Indexes[string(application)] = append(status.Indexes[string(application)], uint64(version.Version))
+			}
+		}
+	}
+	r.peersAndServers(&status)
+	return status
+}
+
+func (r reporter) peersAndServers(status *httpapi.Status) {
+	reach, table := r.members.reach.Load(), r.members.table.Load()
+	entries := r.catalogue()
+	for _, entry := range reach.View().Entries() {
+		if entry.ID == r.settings.Instance {
+			continue
+		}
+		status.Peers = append(status.Peers, httpapi.PeerStatus{
+			Instance: string(entry.ID), Zone: string(entry.Zone), Reachable: reach.Contact(entry.ID).Reachable,
+			Leaving: entry.Leaving, Out: entries.ZoneOut(entry.Zone) || entries.InstanceOut(entry.ID),
+		})
+	}
+	own := make(map[fleet.ServerID]replica.Status)
+	for _, server := range r.owner.Servers() {
+		own[server.Server] = server
+	}
+	for _, server := range reach.View().Servers() {
+		owner, _ := table.Route(server.ID)
+		line := httpapi.ServerStatus{
+			Server: string(server.ID), Service: string(server.Service), Zone: string(server.Zone), Owner: string(owner),
+		}
+		if slots, connections, ok := table.Claim(server.ID); ok {
+			known := own[server.ID]
+			line.Slots, line.Connections = slots, connections
+			line.State, line.Reason, line.Since = known.State.String(), known.Reason, known.Since
+			line.InFlight, line.Waiting, line.Ramp = known.InUse, known.Queued, known.Ramp
+			line.Open, _ = r.transport.Connections(server.ID)
+		}
+		switch {
+		case entries.ZoneOut(server.Zone):
+			line.State, line.Reason = "out", verdict.ZoneOut
+		case entries.InstanceOut(fleet.InstanceID(server.ID)):
+			line.State, line.Reason = "out", verdict.InstanceOut
+		case server.Leaving:
+			line.State, line.Reason = replica.Leaving.String(), verdict.Leaving
+		}
+		status.Servers = append(status.Servers, line)
+	}
+}
+
+// publishMetrics registers the counts that other packages keep.
+func (i *Instance) publishMetrics() error {
+	counters := i.engine.Counters()
+	values := map[string]func() int64{
+		"medlarlatch.parts.first":        counters.Firsts.Load,
+		"medlarlatch.parts.hedge":        counters.Hedges.Load,
+		"medlarlatch.parts.retry":        counters.Retries.Load,
+		"medlarlatch.connections.opened": func() int64 { return i.transport.Stats().Opened },
+		"medlarlatch.connections.silent": func() int64 { return i.transport.Stats().Silent },
+		"medlarlatch.answers.bad":        func() int64 { return i.transport.Stats().BadAnswers },
+		"medlarlatch.documents.rejected": func() int64 { return int64(i.holder.Rejected()) },
+	}
+	for name, value := range values {
+		if err := i.telemetry.Counter(name, "See docs/operations.md.", value); err != nil {
+			return err
+		}
+	}
+	gauges := map[string]func() int64{
+		"medlarlatch.connections.open":       func() int64 { return int64(i.transport.Stats().Open) },
+		"medlarlatch.queries.in_progress":    func() int64 { return int64(i.admission.State().InFlight) },
+		"medlarlatch.configuration.revision": func() int64 { return int64(latest(i.holder.Revisions())) },
+		"medlarlatch.configuration.age_seconds": func() int64 {
+			if view := i.holder.Current(); view != nil {
+				return int64(time.Since(view.Since).Seconds())
+			}
+			return -1
+		},
+	}
+	for name, value := range gauges {
+		if err := i.telemetry.Gauge(name, "See docs/operations.md.", value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/httpapi/operators.go
+++ b/internal/httpapi/operators.go
@@ -39,8 +39,8 @@
 	Since time.Time `json:"since"`
 	// Origin is the store or a peer.
 	Origin string `json:"origin"`
-	// Confirmed is when the store or a peer last said that no newer one exists; zero if never.
-	Confirmed time.Time `json:"confirmed"`
+	// StoreAlive tells whether this instance watches the store and its last call succeeded.
+	StoreAlive bool `json:"store-alive"`
 }
 
 // AdmissionStatus tells the bound on queries in progress.
@@ -90,7 +90,7 @@
 	// Ready tells whether the balancer may send callers here, else why not.
 	Ready() (bool, verdict.Reason)
 	Status() Status
-	// Burn returns the report on service-level objectives.
+	// Burn returns the report on service-level objectives; nil if there is none.
 	Burn() any
 }
 
@@ -116,6 +116,10 @@
 		writeJSON(w, http.StatusOK, reporter.Status())
 	}).Methods(http.MethodGet)
 	guarded.HandleFunc("/v1/burn", func(w http.ResponseWriter, _ *http.Request) {
+		if reporter.Burn() == nil {
+			http.Error(w, "no report on service-level objectives", http.StatusNotImplemented)
+			return
+		}
 		writeJSON(w, http.StatusOK, reporter.Burn())
 	}).Methods(http.MethodGet)
 	return &http.Server{
--- /dev/null
+++ b/internal/standin/cluster/caller.go
@@ -0,0 +1,113 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/standin"
+	"github.com/medlarlatch/medlarlatch/pkg/api"
+)
+
+// Application returns an application of the cluster.
+func (c *Cluster) Application(name string) standin.Application { return c.applications[name] }
+
+// Query sends one query to an entry instance. Exactly one of the results is set; an error means that there was no
+// answer at all.
+func (c *Cluster) Query(ctx context.Context, n int, application string, query api.Query) (*api.Answer, *api.Refusal, error) {
+	status, body, err := c.post(ctx, n, "/v1/applications/"+application+"/query", query)
+	if err != nil {
+		return nil, nil, err
+	}
+	if status != http.StatusOK {
+		var refusal api.Refusal
+		if err := json.Unmarshal(body, &refusal); err != nil {
+			return nil, nil, fmt.Errorf("status %d without a refusal: %w", status, err)
+		}
+		return nil, &refusal, nil
+	}
+	var answer api.Answer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return nil, nil, err
+	}
+	return &answer, nil, nil
+}
+
+// Tickets fetches tickets from an entry instance.
+func (c *Cluster) Tickets(ctx context.Context, n, count int) ([]string, error) {
+	status, body, err := c.post(ctx, n, "/v1/tickets", api.TicketRequest{Count: count})
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("tickets: status %d: %.200s", status, body)
+	}
+	var tickets api.Tickets
+	err = json.Unmarshal(body, &tickets)
+	return tickets.Tickets, err
+}
+
+func (c *Cluster) post(ctx context.Context, n int, path string, message any) (int, []byte, error) {
+	text, err := json.Marshal(message)
+	if err != nil {
+		return 0, nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Entries[n].callers+path, bytes.NewReader(text))
+	if err != nil {
+		return 0, nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, body, err
+}
+
+// Check compares an answer with the generated data: every row, the snapshot and the count of shards.
+func (c *Cluster) Check(application string, query api.Query, answer *api.Answer) error {
+	a := c.applications[application]
+	shards := a.Index(answer.Snapshot)
+	var faults []error
+	if answer.ID != query.ID {
+		faults = append(faults, fmt.Errorf("answer to %q instead of %q", answer.ID, query.ID))
+	}
+	coverage := answer.Coverage
+	if coverage.Asked != len(shards) || coverage.Answered != len(answer.Rows) || coverage.Answered+len(coverage.Missing) != coverage.Asked {
+		faults = append(faults, fmt.Errorf("coverage asked %d, answered %d, missing %d, but %d shards and rows of %d",
+			coverage.Asked, coverage.Answered, len(coverage.Missing), len(shards), len(answer.Rows)))
+	}
+	for _, missing := range coverage.Missing {
+		if answer.Rows[missing.Shard] != nil || shards[missing.Shard] == "" {
+			faults = append(faults, fmt.Errorf("shard %s is missing and answered, or not of this snapshot", missing.Shard))
+		}
+	}
+	for shard, rows := range answer.Rows {
+		want, err := a.Data.Rows(shard, answer.Snapshot, query.Query)
+		if err != nil || shards[shard] == "" || !bytes.Equal(want, rows) {
+			faults = append(faults, fmt.Errorf("shard %s of snapshot %d: rows %.120s, want %.120s", shard, answer.Snapshot, rows, want))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// Latencies collects the times of answers.
+type Latencies []time.Duration
+
+// Percentile returns the smallest time that the share of the answers does not exceed.
+func (l Latencies) Percentile(percent float64) time.Duration {
+	if len(l) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(l)
+	slices.Sort(sorted)
+	return sorted[min(int(float64(len(sorted))*percent/100), len(sorted)-1)]
+}
--- /dev/null
+++ b/internal/standin/program/demo.go
@@ -0,0 +1,3 @@
+package program
+
+var demoVerb = verb{name: "demo"}
