--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -82,6 +82,7 @@
 	address  func(fleet.InstanceID) (string, bool)
 	dialer   Dialer
 	random   *randomness
+	counters counters
 
 	mu        sync.Mutex
 	outbound  map[fleet.InstanceID]*outbound
@@ -127,6 +128,7 @@
 		n.mu.Lock()
 		if n.closed || len(n.inbound) >= n.settings.Limits.Connections {
 			n.mu.Unlock()
+			n.counters.refused.Add(1)
 			_ = connection.Close()
 			continue
 		}
@@ -137,12 +139,14 @@
 	}
 }
 
-// admitInbound closes older connections of the same instance, which it has given up or lost.
+// admitInbound closes older connections of the same process, which has given them up. Two processes
+// with the same name keep theirs, since otherwise each would close the other's for ever.
 func (n *Node) admitInbound(admitted *link) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for other := range n.inbound {
-		if other != admitted && other.admitted.Load() && other.peer.Instance == admitted.peer.Instance {
+		if other != admitted && other.admitted.Load() && other.peer.Instance == admitted.peer.Instance &&
+			other.peer.Incarnation == admitted.peer.Incarnation {
 			other.cancel()
 		}
 	}
@@ -243,6 +247,7 @@
 	limits := o.node.settings.Limits
 	ctx, cancel := context.WithTimeout(context.Background(), limits.SilentAfter)
 	defer cancel()
+	o.node.counters.dials.Add(1)
 	attempt.link, attempt.err = o.node.connect(ctx, o.to)
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -250,6 +255,7 @@
 	if attempt.err == nil {
 		o.current, o.backoff, o.failed = attempt.link, 0, nil
 	} else {
+		o.node.counters.dialsFailed.Add(1)
 		o.failed = attempt.err
 		o.backoff = min(max(2*o.backoff, limits.BackoffFirst), limits.BackoffMost)
 		// Full jitter over the upper half keeps instances from dialling a returned peer together.
@@ -300,6 +306,28 @@
 	}
 }
 
+// Forget closes the connection to a peer that is no longer in the fleet.
+func (n *Node) Forget(to fleet.InstanceID) {
+	n.mu.Lock()
+	gone := n.outbound[to]
+	delete(n.outbound, to)
+	n.mu.Unlock()
+	if gone != nil {
+		gone.close()
+	}
+}
+
+// notQueued returns the verdict of a call whose frame the connection did not take.
+func notQueued(to fleet.InstanceID, err error) *verdict.Error {
+	switch {
+	case errors.Is(err, errBusy):
+		return verdict.New(verdict.NotRun, verdict.Overloaded, "to %q: %v", to, err)
+	case errors.Is(err, errTooLarge):
+		return verdict.New(verdict.NotRun, verdict.InvalidRequest, "to %q: %v", to, err)
+	}
+	return unreachable(to, err)
+}
+
 func unreachable(to fleet.InstanceID, err error) *verdict.Error {
 	return verdict.New(verdict.NotRun, verdict.PeerUnreachable, "no connection to %q: %v", to, err)
 }
