--- /dev/null
+++ b/internal/seed/seed.go
@@ -0,0 +1,32 @@
+// Package seed gives rapid's generated tests a fixed seed, so that every run of the same code has the
+// same verdict. The variable MEDLARLATCH_SEED sets another one; "make soak" uses new ones and prints them.
+package seed
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+)
+
+const (
+	variable = "MEDLARLATCH_SEED"
+	// standard is the seed of CI.
+	standard = "20261204"
+)
+
+// Run runs a package's tests with the seed; call it from TestMain.
+func Run(m *testing.M) {
+	value := os.Getenv(variable)
+	if value == "" {
+		value = standard
+	}
+	settings := map[string]string{"rapid.seed": value, "rapid.nofailfile": "true"}
+	for name, setting := range settings {
+		if err := flag.Set(name, setting); err != nil {
+			fmt.Fprintf(os.Stderr, "%s: %v\n", variable, err)
+			os.Exit(2)
+		}
+	}
+	os.Exit(m.Run())
+}
