Forget unlisted servers and keep a handover until the claim

Cause: gates stayed for every server that was ever listed, and a handover that arrived before the claim was discarded by the next Refresh, so the new owner started cold. Ruled out: taking the handover only after the claim; the former owner sends it when it leaves, before its peers have seen that. Change: Refresh removes gates of unlisted servers without calls; adopted state waits 5 s for the claim. Mutations seen failing: hold off (TestHandover: cold instead of warm), removal off (TestUnlistedServersAreForgotten: 1 server left). Conclusion: go test -race ./internal/replica passes.

--- a/internal/replica/gate.go
+++ b/internal/replica/gate.go
@@ -52,6 +52,10 @@
 	address string
 	// learnt is set once this owner has seen the outcome of a call of its own.
 	learnt bool
+	// adopted is when the state was taken over from a former owner.
+	adopted time.Time
+	// removed is set when the owner has dropped the gate; a new one takes its place.
+	removed bool
 	// stale is set while this instance sends nothing to the server.
 	stale bool
 	// reserved slots are still used by calls of the former owner until reservedUntil.
--- a/internal/replica/handover.go
+++ b/internal/replica/handover.go
@@ -7,6 +7,10 @@
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
+// adoptionHold is how long adopted state waits for the claim, which follows the handover by up to a claim
+// delay and a few heartbeat rounds.
+const adoptionHold = 5 * time.Second
+
 // Handover returns the state of servers that another instance takes over. The caller has given up its
 // claim before, so that nothing is sent after the state was read.
 func (o *Owner) Handover(servers []fleet.ServerID) []Handed {
@@ -43,13 +47,20 @@
 func (o *Owner) Adopt(handed []Handed) {
 	now := time.Now()
 	for _, h := range handed {
-		o.gate(h.Server, now).adopt(now, h)
+		g := o.gate(h.Server, now)
+		for !g.adopt(now, h) {
+			g = o.replaced(g, now)
+		}
 	}
 }
 
-func (g *gate) adopt(now time.Time, h Handed) {
+// adopt is false for a gate that was removed meanwhile.
+func (g *gate) adopt(now time.Time, h Handed) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if g.removed {
+		return false
+	}
 	if h.InUse > 0 && h.Until > 0 {
 		g.reserved, g.reservedUntil = h.InUse, now.Add(h.Until)
 		time.AfterFunc(h.Until, func() {
@@ -59,9 +70,10 @@
 		})
 	}
 	if g.learnt && !g.stale {
-		return
+		return true
 	}
 	g.stale = false
+	g.adopted = now
 	g.limit = max(1, h.Ramp)
 	g.startMark = h.StartMark
 	g.mean, g.samples = h.ServiceTime, h.Samples
@@ -69,6 +81,7 @@
 		g.saysLeaving = true
 	}
 	g.enter(now, h.State, g.reason)
+	return true
 }
 
 // Refresh applies a new ownership table, fleet view or catalogue: it refuses what is queued for servers
@@ -77,22 +90,28 @@
 	now := time.Now()
 	o.gates.Range(func(key, value any) bool {
 		_, slots, refusal := o.allowed(key.(fleet.ServerID))
-		value.(*gate).refresh(now, slots, refusal)
+		if value.(*gate).refresh(now, slots, refusal) {
+			o.gates.CompareAndDelete(key, value)
+		}
 		return true
 	})
 }
 
-func (g *gate) refresh(now time.Time, slots int, refusal *verdict.Error) {
+// refresh applies the rules to the gate and tells whether it is of no use any more: the server is not
+// listed and no call is left.
+func (g *gate) refresh(now time.Time, slots int, refusal *verdict.Error) (unused bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.slots = slots
 	if refusal != nil {
-		g.stale = true
+		g.stale = refusal != notOwner || now.Sub(g.adopted) >= adoptionHold
 		g.refuseQueued(refusal)
-		return
+		g.removed = refusal == unknownServer && len(g.tasks) == 0 && g.inUse == 0
+		return g.removed
 	}
 	g.renew(now)
 	g.pump(now)
+	return false
 }
 
 // renew starts the ramp again at a server that this instance did not send to for a while, because the
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -110,9 +110,13 @@
 	if service, ok := o.Catalogue().Service(t.part.Service); ok {
 		t.class, t.expected = service.Class, service.LatencyObjective
 	}
-	g := o.gate(t.part.Server, now)
 	t.ctx, t.cancel = context.WithDeadline(ctx, t.part.Deadline)
+	g := o.gate(t.part.Server, now)
 	refusal = g.decide(now, t, server.Address, slots)
+	for refusal == gateRemoved {
+		g = o.replaced(g, now)
+		refusal = g.decide(now, t, server.Address, slots)
+	}
 	if refusal != nil {
 		t.cancel()
 	}
@@ -123,6 +127,9 @@
 func (g *gate) decide(now time.Time, t *task, address string, slots int) *verdict.Error {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if g.removed {
+		return gateRemoved
+	}
 	g.slots = slots
 	g.renew(now)
 	if g.address != address {
@@ -316,3 +323,9 @@
 	value, _ := o.gates.LoadOrStore(id, newGate(id, now))
 	return value.(*gate)
 }
+
+// replaced returns the gate that takes the place of a removed one.
+func (o *Owner) replaced(removed *gate, now time.Time) *gate {
+	o.gates.CompareAndDelete(removed.id, removed)
+	return o.gate(removed.id, now)
+}
--- a/internal/replica/refusal.go
+++ b/internal/replica/refusal.go
@@ -18,6 +18,7 @@
 	unknownServer  = verdict.New(verdict.NotRun, verdict.NoReplica, "the server is not listed")
 	fenced         = verdict.New(verdict.NotRun, verdict.Fenced, "the last heartbeat round is too old")
 	deadlinePassed = verdict.New(verdict.NotRun, verdict.DeadlinePassed, "the deadline passed before the part was sent")
+	gateRemoved    = verdict.New(verdict.NotRun, verdict.NoReplica, "the server was not listed until now")
 	cancelled      = verdict.New(verdict.NotRun, verdict.Cancelled, "the part was cancelled before it was sent")
 )
 
--- a/internal/replica/slots_test.go
+++ b/internal/replica/slots_test.go
@@ -240,6 +240,10 @@
 		is.Equal(len(handed), 1)
 		r.Owner = r.owner("e1")
 		r.Adopt(handed)
+		r.change(func(r *rig) { r.slots = 0 })
+		r.Refresh() // the handover arrives before the claim
+		r.change(func(r *rig) { r.slots = 3 })
+		r.Refresh()
 		is.Equal(r.Servers()[0].State, Warm)
 		r.send("s0", 6, 8*time.Second, nil)
 		time.Sleep(3 * time.Second)
@@ -268,3 +272,25 @@
 		is.Equal(r.Servers()[0].State, Warm)
 	})
 }
+
+// Guards against state that grows with every server that was ever listed, and against a server that
+// returns with the ramp of its former listing.
+func TestUnlistedServersAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(1, 2)
+		r.warm("s0")
+		server := r.listed["s0"]
+		r.change(func(r *rig) { delete(r.listed, "s0") })
+		r.send("s0", 1, time.Second, nil)
+		is.Equal(r.reasons(), map[verdict.Reason]int{verdict.NoReplica: 1})
+		r.Refresh()
+		is.Equal(len(r.Servers()), 0)
+		r.change(func(r *rig) { r.listed["s0"] = server })
+		r.send("s0", 1, time.Second, nil)
+		synctest.Wait()
+		is.Equal(r.Servers()[0].State, Cold)
+		time.Sleep(time.Second)
+		is.Equal(r.reasons(), map[verdict.Reason]int{verdict.None: 1})
+	})
+}
