Compare the instance list without a map of all servers

Cause: each poll of the list built a map of every listed server to find the dropped ones. Change: the map is built only if the counts say that a server was dropped. Mutation seen failing: dropped servers ignored (TestListedServersReplaceFormerOnes).

--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -40,3 +40,21 @@
 		})
 	}
 }
+
+// BenchmarkListed measures a poll of the instance list that says nothing new.
+func BenchmarkListed(b *testing.B) {
+	for _, count := range []int{1000, 44000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			servers := make([]Server, count)
+			for i := range servers {
+				servers[i] = Server{ID: ServerID(fmt.Sprint("server-", i)), Service: "x", Zone: "z", Address: "10.0.0.1:1"}
+			}
+			m := NewMembership(Entry{ID: "e0", Zone: "z"})
+			m.Listed(time.Unix(1000, 0), nil, servers)
+			b.ReportAllocs()
+			for b.Loop() {
+				m.Listed(time.Unix(1001, 0), nil, servers)
+			}
+		})
+	}
+}
--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -13,21 +13,20 @@
 	change := Change{}
 	change.Entries = m.listEntries(now, entries)
 	var changed []Server
-	present := make(map[ServerID]bool, len(servers))
+	added := 0
 	for _, server := range servers {
-		present[server.ID] = true
-		if known, ok := m.view.Server(server.ID); !ok || known != server {
+		known := m.view.servers.Get(server.ID)
+		if known == nil {
+			added++
+		}
+		if known == nil || *known != server {
 			changed = append(changed, server)
 			change.Servers = append(change.Servers, server.ID)
 		}
 	}
 	var gone []ServerID
-	if m.view.servers.Len()+len(changed) > len(present) {
-		for id := range m.view.servers.All() {
-			if !present[id] {
-				gone = append(gone, id)
-			}
-		}
+	if m.view.servers.Len()+added > len(servers) {
+		gone = m.unlisted(servers)
 	}
 	change.Servers = append(change.Servers, gone...)
 	if len(changed)+len(gone) > 0 {
@@ -36,6 +35,21 @@
 	return change.Join(m.Advance(now))
 }
 
+// unlisted returns the servers of the view that the list does not have.
+func (m *Membership) unlisted(servers []Server) []ServerID {
+	present := make(map[ServerID]bool, len(servers))
+	for _, server := range servers {
+		present[server.ID] = true
+	}
+	var gone []ServerID
+	for id := range m.view.servers.All() {
+		if !present[id] {
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
 // ServerChanged replaces one backend server, for example when its own answers say that it leaves.
 func (m *Membership) ServerChanged(now time.Time, server Server) Change {
 	m.view = m.view.WithServer(server)
--- a/internal/fleet/membership_test.go
+++ b/internal/fleet/membership_test.go
@@ -170,3 +170,19 @@
 	m.Advance(at(20 + int(RemovalDelay/time.Millisecond)))
 	is.True(!slices.Contains(m.Reachability().Watchers("z"), before[0]))
 }
+
+// Guards against a server that stays after the list dropped it, also when another one came at the same time.
+func TestListedServersReplaceFormerOnes(t *testing.T) {
+	is := is.New(t)
+	m := NewMembership(Entry{ID: "e0", Zone: "z"})
+	server := func(id ServerID, leaving bool) Server {
+		return Server{ID: id, Service: "x", Zone: "z", Leaving: leaving}
+	}
+	m.Listed(at(0), nil, []Server{server("s0", false), server("s1", false)})
+	is.Equal(m.Listed(at(1), nil, []Server{server("s0", false), server("s1", false)}), Change{})
+	change := m.Listed(at(2), nil, []Server{server("s1", true), server("s2", false)})
+	is.Equal(change.Servers, []ServerID{"s1", "s2", "s0"})
+	is.Equal(m.Reachability().View().Servers(), []Server{server("s1", true), server("s2", false)})
+	is.Equal(m.Reachability().View().ServersOf("x"), []ServerID{"s1", "s2"})
+	is.Equal(m.Reachability().View().ServersIn("z"), []ServerID{"s1", "s2"})
+}
