--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -63,8 +63,10 @@
 	zonesOut     map[ZoneID]bool
 	instancesOut map[InstanceID]bool
 	// going holds the time at which a peer was first known to leave or to be out.
-	going     map[InstanceID]time.Time
-	excluded  map[InstanceID]bool
+	going    map[InstanceID]time.Time
+	excluded map[InstanceID]bool
+	// now is the time of the last event.
+	now       time.Time
 	round     time.Time
 	completed time.Time
 	// unfenced is the start of the first round after the last fence; older acknowledgements are void.
@@ -184,13 +186,14 @@
 // Acknowledges tells whether this instance reaches the peer and so claims nothing that the peer is the
 // first to own. The ownership table is to be replaced before this is told to the peer. An answer older than
 // ClaimDelay-UnreachableAfter is not enough: the peer relies on the acknowledgement for UnreachableAfter,
-// and in a cut of one direction this instance could claim before that.
-func (m *Membership) Acknowledges(now time.Time, id InstanceID) bool {
+// and in a cut of one direction this instance could claim before that. The time is that of the last event,
+// which for an answer to a heartbeat is its HeartbeatReceived.
+func (m *Membership) Acknowledges(id InstanceID) bool {
 	if _, known := m.view.Entry(id); !known || !m.current.Contact(id).Reachable {
 		return false
 	}
 	p, ok := m.peers[id]
-	return !ok || p.last().IsZero() || now.Sub(p.last()) < ClaimDelay-UnreachableAfter
+	return !ok || p.last().IsZero() || m.now.Sub(p.last()) < ClaimDelay-UnreachableAfter
 }
 
 // CompletedRound returns the start of the last round in which every peer answered or failed.
@@ -225,6 +228,7 @@
 
 // Advance applies the passing of time and returns what differs from before.
 func (m *Membership) Advance(now time.Time) Change {
+	m.now = now
 	change := m.dropSilent(now)
 	for _, id := range m.heartbeat {
 		p := m.peer(id)
--- a/internal/share/cuts_test.go
+++ b/internal/share/cuts_test.go
@@ -89,7 +89,7 @@
 		}
 		peer.apply(peer.HeartbeatReceived(sent, self, n.Released()))
 		from, _ := peer.Reachability().View().Entry(peer.id)
-		reply := fleet.Reply{From: from, Sent: sent, Acknowledged: peer.Acknowledges(sent, n.id), Released: peer.Released()}
+		reply := fleet.Reply{From: from, Sent: sent, Acknowledged: peer.Acknowledges(n.id), Released: peer.Released()}
 		s.events = append(s.events, event{s.now + 1, n, func(n *node, now time.Time) fleet.Change {
 			return n.HeartbeatReplied(now, reply)
 		}})
