--- a/internal/share/cuts_test.go
+++ b/internal/share/cuts_test.go
@@ -48,15 +48,16 @@
 	now    int
 }
 
-func newSimulation(t *rapid.T) *simulation {
+// newSimulation returns one zone with an instance for each phase, the tick of its rounds.
+func newSimulation(phases []int) *simulation {
 	s := &simulation{cut: make(map[[2]int]bool), start: time.Unix(1000, 0)}
-	for i := range rapid.IntRange(2, 4).Draw(t, "nodes") {
+	for i := range phases {
 		s.entries = append(s.entries, fleet.Entry{ID: fleet.InstanceID(fmt.Sprint("e", i)), Zone: "z", Region: "r"})
 	}
 	s.nodes = make([]*node, len(s.entries))
-	for i := range s.nodes {
+	for i, phase := range phases {
 		s.restart(i)
-		s.nodes[i].phase = rapid.IntRange(0, perRound-1).Draw(t, "phase")
+		s.nodes[i].phase = phase
 	}
 	return s
 }
@@ -134,7 +135,7 @@
 // directions begin and end and instances freeze and resume, and against a server that stays without an owner.
 func TestClaimsStayWithinSlotsOverTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSimulation(t)
+		s := newSimulation(rapid.SliceOfN(rapid.IntRange(0, perRound-1), 2, 4).Draw(t, "phases"))
 		for range rapid.IntRange(1, 8).Draw(t, "phases") {
 			i := rapid.IntRange(0, len(s.nodes)-1).Draw(t, "node")
 			j := rapid.IntRange(0, len(s.nodes)-1).Draw(t, "other")
@@ -172,3 +173,26 @@
 		}
 	})
 }
+
+// Guards against an acknowledgement from a peer that has itself not heard from this instance for a while:
+// when the other direction is cut as well, the peer claims before this instance has stopped.
+func TestAcknowledgementNeedsARecentAnswer(t *testing.T) {
+	s := newSimulation([]int{0, 1})
+	run := func(ticks int) {
+		for range ticks {
+			s.step()
+			if sum := s.claimed(); sum > simSlots {
+				t.Fatalf("tick %d: %d of %d slots claimed", s.now, sum, simSlots)
+			}
+		}
+	}
+	s.cut[[2]int{1, 0}] = true
+	run(2)
+	s.restart(0)
+	run(50)
+	s.cut[[2]int{0, 1}] = true
+	run(200)
+	if sum := s.claimed(); sum != simSlots {
+		t.Fatalf("both sides of the cut claim %d of %d slots", sum, simSlots)
+	}
+}
