--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Verbs of the project; README.md shows demo and test, CONTRIBUTING.md the rest.
 GO ?= go
 
-.PHONY: build test lint format demo bench fuzz soak generate
+.PHONY: build test lint format demo bench bench-capacity fuzz soak generate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -34,3 +34,17 @@
 		seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "seed $$seed"; \
 		MEDLARLATCH_SEED=$$seed $(GO) test -count=1 $$(grep -rl internal/seed --include=main_test.go internal | xargs -n1 dirname | sed 's#^#./#') || exit 1; \
 	done
+
+# All benchmarks of the repository, then the lines fitted through those that run at several sizes. BENCH_COUNT runs
+# give medians.
+BENCH_COUNT ?= 3
+BENCH_TIME ?= 100ms
+bench:
+	@out=$$(mktemp); $(GO) test -run '^$$' -bench . -benchtime $(BENCH_TIME) -count $(BENCH_COUNT) -p 1 ./internal/... > $$out; code=$$?; \
+		grep -E '^(Benchmark|pkg:|FAIL|---)' $$out; $(GO) run ./internal/slope < $$out; rm -f $$out; exit $$code
+
+# The benchmarks behind docs/CAPACITY.md.
+CAPACITY = RouteAndClaim|Spread|BenchmarkUpdate|BenchmarkHeartbeat|Listed|BenchmarkDecision|BenchmarkCall|ForwardedPart|InstanceList|EngineUpdate|Catalogue|BenchmarkGet|BenchmarkPlan|InForce|Exchange|Connections|Window|Owned|Adoption
+bench-capacity:
+	@out=$$(mktemp); $(GO) test -run '^$$' -bench '$(CAPACITY)' -benchtime $(BENCH_TIME) -count $(BENCH_COUNT) -p 1 ./internal/... > $$out; code=$$?; \
+		grep -E '^(Benchmark|pkg:|FAIL|---)' $$out; $(GO) run ./internal/slope < $$out; rm -f $$out; exit $$code
--- /dev/null
+++ b/internal/platform/capacity_bench_test.go
@@ -0,0 +1,60 @@
+package platform_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/medlarlatch/medlarlatch/internal/platform"
+	"github.com/medlarlatch/medlarlatch/internal/standin/inprocess"
+)
+
+// listOf returns an instance list with this many replicas and the entry instances that the target has for them.
+func listOf(replicas int) platform.InstanceList {
+	var list platform.InstanceList
+	add := func(i int, line platform.Instance) {
+		line.Zone, line.Region, line.State = fmt.Sprint("zone-", i%12), fmt.Sprint("region-", i%4), platform.StateLive
+		list.Instances = append(list.Instances, line)
+	}
+	for i := range replicas {
+		add(i, platform.Instance{ID: fmt.Sprint("server-", i), Kind: platform.KindBackendServer, Service: fmt.Sprint("bib-index-", i/2), Address: fmt.Sprintf("10.%d.%d.1:7000", i/250, i%250)})
+	}
+	for i := range replicas * 5200 / 44000 {
+		address := fmt.Sprintf("10.%d.%d.2:7000", i/250, i%250)
+		add(i, platform.Instance{ID: fmt.Sprint("entry-", i), Kind: platform.KindEntry, Peers: address, Operators: address})
+	}
+	return list
+}
+
+// BenchmarkInstanceList measures one read of the instance list without the network: its bytes, and the time to
+// decode and check it. "unchanged" is a read with the tag of the last list.
+func BenchmarkInstanceList(b *testing.B) {
+	for _, replicas := range []int{1000, 5000, 15000, 44000} {
+		b.Run(fmt.Sprint("whole/", replicas), func(b *testing.B) { benchmarkList(b, replicas, "") })
+		b.Run(fmt.Sprint("unchanged/", replicas), func(b *testing.B) { benchmarkList(b, replicas, `"1"`) })
+	}
+}
+
+func benchmarkList(b *testing.B, replicas int, tag string) {
+	body, err := json.Marshal(listOf(replicas))
+	if err != nil {
+		b.Fatal(err)
+	}
+	adapter := platform.NewInstances("http://list", options(inprocess.Client(http.HandlerFunc(func(reply http.ResponseWriter, request *http.Request) {
+		if tag != "" && request.Header.Get("If-None-Match") == tag {
+			reply.WriteHeader(http.StatusNotModified)
+			return
+		}
+		reply.Header().Set("ETag", tag)
+		_, _ = reply.Write(body)
+	}))))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, err := adapter.List(context.Background()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(body)), "list-B")
+}
