Apply a new catalogue to the ownership table where it differs

Cause: every adopted document rebuilt the whole ownership table.

Ruled out: comparing with the catalogue in force at the holder. It can be newer than the one of the table, so that a limit that changed and changed back in between would stay in the table; the members therefore keep the catalogue that their table was computed with.

Change: members.adopt passes the change of TakeOut and the services with other limits to share.Table.With.

--- a/internal/entry/configured.go
+++ b/internal/entry/configured.go
@@ -89,7 +89,7 @@
 	for {
 		changed := i.holder.Changed()
 		if view := i.holder.Current(); view != nil {
-			i.members.rebuild(view.Catalogue.ZonesOut(), view.Catalogue.InstancesOut())
+			i.members.adopt(view.Catalogue)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -92,7 +92,7 @@
 	}
 	i.holder = configuration.NewHolder(checkIndex)
 	self := fleet.Entry{ID: s.Instance, Zone: s.Zone, Region: s.Region, Peers: s.Peers, Operators: s.Operators}
-	i.members = newMembers(self, i.limits)
+	i.members = newMembers(self)
 	i.transport = backend.New(backend.Options{Connections: func(server fleet.Server) int {
 		_, connections, _ := i.members.table.Load().Claim(server.ID)
 		return connections
@@ -206,8 +206,3 @@
 	}
 	return catalogue.Catalogue{}
 }
-
-func (i *Instance) limits(id fleet.ServiceID) (slots, connections int) {
-	entry, _ := i.catalogue().Service(id)
-	return entry.Slots, entry.Connections
-}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -12,27 +12,30 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/internal/peer"
 	"github.com/medlarlatch/medlarlatch/internal/share"
 )
 
 type members struct {
-	self   fleet.Entry
-	limits share.Limits
-	reach  atomic.Pointer[fleet.Reachability]
-	table  atomic.Pointer[share.Table]
+	self  fleet.Entry
+	reach atomic.Pointer[fleet.Reachability]
+	table atomic.Pointer[share.Table]
 	// changed wakes the goroutine that passes changes on.
 	changed chan struct{}
 
 	mutex      sync.Mutex
 	membership *fleet.Membership
+	// inForce is the catalogue that the table was computed with. The catalogue of the configuration can be a newer
+	// one for a moment, and a comparison with it would miss a change that was undone meanwhile.
+	inForce catalogue.Catalogue
 }
 
-func newMembers(self fleet.Entry, limits share.Limits) *members {
-	m := &members{self: self, limits: limits, changed: make(chan struct{}, 1), membership: fleet.NewMembership(self)}
+func newMembers(self fleet.Entry) *members {
+	m := &members{self: self, changed: make(chan struct{}, 1), membership: fleet.NewMembership(self)}
 	reach := m.membership.Reachability()
-	m.table.Store(share.NewTable(reach, limits))
+	m.table.Store(share.NewTable(reach, m.limits))
 	m.reach.Store(reach)
 	return m
 }
@@ -55,17 +58,24 @@
 	m.reach.Store(reach)
 }
 
-// rebuild computes the whole table, because a new catalogue can change the limits of every server.
-func (m *members) rebuild(zones []fleet.ZoneID, instances []fleet.InstanceID) {
+// adopt applies a new catalogue: what operators have taken out, and the limits that differ. Readers of the table
+// are told of every adoption, also of one that changes no server.
+func (m *members) adopt(next catalogue.Catalogue) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.membership.TakeOut(time.Now(), zones, instances)
-	reach := m.membership.Reachability()
-	m.table.Store(share.NewTable(reach, m.limits))
-	m.reach.Store(reach)
+	change := m.membership.TakeOut(time.Now(), next.ZonesOut(), next.InstancesOut())
+	change.Services = append(change.Services, next.LimitsChanged(m.inForce)...)
+	m.inForce = next
+	m.replace(change)
 	m.notify()
 }
 
+// limits is called with the lock held.
+func (m *members) limits(id fleet.ServiceID) (slots, connections int) {
+	entry, _ := m.inForce.Service(id)
+	return entry.Slots, entry.Connections
+}
+
 func (m *members) notify() {
 	select {
 	case m.changed <- struct{}{}:
