Answer configuration.get without documents when the asker has them

Cause: each instance asks one watcher of its zone and one of the other zones every second, unless the peer's last heartbeat said that it has nothing newer. With today's 4 instances every watcher exchanges heartbeats, so it never showed. A second fault: the word of such a peer, once given with a change, was taken for ever, so that the pull that makes up for a lost notification did not ask it again.

Ruled out: keeping the revision of the answer as the peer's word, which would have ended the pull.

Change: configuration.get carries the revision known, and the answer has no document if nothing is newer. A peer's word counts for four heartbeat intervals.

Conclusion: the pull costs calls, not documents.

--- a/internal/entry/configured.go
+++ b/internal/entry/configured.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -32,9 +33,19 @@
 	return highest
 }
 
+// saidFor is how long a peer's word that it has nothing newer counts. Heartbeats repeat it in time. A peer that
+// exchanges none says it only with a change, and the notification of the next change can be lost.
+const saidFor = 4 * fleet.HeartbeatInterval
+
+// said is the highest revision that a peer said it has, and when.
+type said struct {
+	revision uint64
+	at       time.Time
+}
+
 // heardRevision notes what a peer has and fetches it if it is newer.
 func (i *Instance) heardRevision(from fleet.InstanceID, revision uint64) {
-	i.peerRevisions.Store(from, revision)
+	i.peerRevisions.Store(from, said{revision, time.Now()})
 	if revision > latest(i.holder.Revisions()) {
 		i.spreader.Heard(from, configuration.Revisions{configuration.Key: revision})
 	}
@@ -56,13 +67,17 @@
 	return p.node.ConfigurationChanged(ctx, to, latest(revisions))
 }
 
-// Ask fetches the peer's documents. A peer whose last heartbeat had nothing newer is not asked.
+// Ask fetches the peer's documents if it has a newer one. A peer whose last heartbeat had nothing newer is not
+// asked. In zones of more than 9 entry instances most watchers exchange no heartbeats with this one; they are asked
+// with the revision known here and answer without documents while they have nothing newer.
 func (p configurationPeers) Ask(ctx context.Context, from fleet.InstanceID, known configuration.Revisions) ([]configuration.Document, error) {
-	if said, ok := p.peerRevisions.Load(from); ok && said.(uint64) <= latest(known) {
-		return nil, nil
+	if last, ok := p.peerRevisions.Load(from); ok {
+		if last := last.(said); last.revision <= latest(known) && time.Since(last.at) < saidFor {
+			return nil, nil
+		}
 	}
-	got, err := p.node.GetConfiguration(ctx, from)
-	if err != nil {
+	got, err := p.node.GetConfiguration(ctx, from, latest(known))
+	if err != nil || len(got.Document) == 0 {
 		return nil, err
 	}
 	var documents []configuration.Document
@@ -74,9 +89,13 @@
 type configurationSource struct{ *Instance }
 
 // Configuration implements peer.ConfigurationSource.
-func (s configurationSource) Configuration(context.Context) (peer.Configuration, error) {
+func (s configurationSource) Configuration(_ context.Context, known uint64) (peer.Configuration, error) {
+	revision := latest(s.holder.Revisions())
+	if revision <= known {
+		return peer.Configuration{Revision: revision}, nil
+	}
 	text, err := json.Marshal(s.holder.Newer(nil))
-	return peer.Configuration{Revision: latest(s.holder.Revisions()), Document: text}, err
+	return peer.Configuration{Revision: revision, Document: text}, err
 }
 
 // ConfigurationChanged implements peer.ConfigurationSource.
--- /dev/null
+++ b/internal/entry/configured_test.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/medlarlatch/medlarlatch/internal/configuration"
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/settings"
+)
+
+func newTestInstance(t *testing.T, id fleet.InstanceID) *Instance {
+	t.Helper()
+	i, err := New(settings.Settings{
+		Instance: id, Zone: "zone-a", Region: "r", Seed: 1, PeerKey: "0123456789abcdef0123456789abcdef",
+		Store: "http://127.0.0.1:1", Instances: "http://127.0.0.1:1", Timeout: time.Second,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(i.node.Close)
+	return i
+}
+
+// TestAskWithoutHeartbeats guards against fetching every document each second from a watcher that exchanges no
+// heartbeats with this instance, and against never asking it again once it has said what it has.
+func TestAskWithoutHeartbeats(t *testing.T) {
+	is := is.New(t)
+	asking, watcher := newTestInstance(t, "entry-1"), newTestInstance(t, "entry-2")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = watcher.node.Serve(listener) }()
+	asking.members.apply(func(m *fleet.Membership, now time.Time) fleet.Change {
+		return m.Listed(now, []fleet.Entry{{ID: "entry-2", Zone: "zone-a", Region: "r", Peers: listener.Addr().String()}}, nil)
+	})
+	adopt := func(revision uint64) {
+		document := configuration.Document{Key: configuration.Key, Revision: revision, Text: []byte("[configuration]\nformat = 1\n")}
+		_, err := watcher.holder.Adopt(document, configuration.Source{})
+		is.NoErr(err)
+	}
+	ask := func(known uint64) int {
+		documents, err := configurationPeers{asking}.Ask(t.Context(), "entry-2", configuration.Revisions{configuration.Key: known})
+		is.NoErr(err)
+		return len(documents)
+	}
+	adopt(5)
+	is.Equal(ask(0), 1)
+	is.Equal(ask(5), 0)
+	got, err := asking.node.GetConfiguration(t.Context(), "entry-2", 5)
+	is.NoErr(err)
+	is.Equal(len(got.Document), 0) // the answer itself is small
+
+	asking.heardRevision("entry-2", 5)
+	adopt(6)
+	is.Equal(ask(5), 0) // its word is recent
+	time.Sleep(saidFor)
+	is.Equal(ask(5), 1) // the notification of revision 6 was lost
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,7 +67,7 @@
 
 	listed  atomic.Bool // the instance list has been read once
 	leaving atomic.Bool
-	// peerRevisions holds the highest revision that each peer has said it has.
+	// peerRevisions holds what each peer last said of its highest revision.
 	peerRevisions sync.Map
 }
 
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -43,7 +43,12 @@
 // Configuration is a configuration document with its store revision.
 type Configuration struct {
 	Revision uint64 `json:"revision"`
-	Document []byte `json:"document"`
+	Document []byte `json:"document,omitempty"`
+}
+
+// configurationGet has the highest revision that the sender knows; 0 asks for everything.
+type configurationGet struct {
+	Known uint64 `json:"known"`
 }
 
 // PartsRunner runs parts for a remote coordinator. Run calls deliver exactly once for each part; it
@@ -63,9 +68,10 @@
 	RunTicket(ctx context.Context, from fleet.InstanceID, call ticket.Call) ticket.Outcome
 }
 
-// ConfigurationSource gives the configuration in force and hears of newer ones at peers.
+// ConfigurationSource gives the configuration in force and hears of newer ones at peers. A peer that already has
+// everything up to the revision known gets no document, so that asking often costs few bytes.
 type ConfigurationSource interface {
-	Configuration(ctx context.Context) (Configuration, error)
+	Configuration(ctx context.Context, known uint64) (Configuration, error)
 	ConfigurationChanged(ctx context.Context, from fleet.InstanceID, revision uint64)
 }
 
--- a/internal/peer/methods_test.go
+++ b/internal/peer/methods_test.go
@@ -88,7 +88,10 @@
 
 type configured struct{ changed chan uint64 }
 
-func (configured) Configuration(context.Context) (Configuration, error) {
+func (configured) Configuration(_ context.Context, known uint64) (Configuration, error) {
+	if known >= 9 {
+		return Configuration{Revision: 9}, nil
+	}
 	return Configuration{Revision: 9, Document: []byte("[configuration]\nformat = 1\n")}, nil
 }
 
@@ -113,7 +116,10 @@
 		b := n.join(t, "b", testKey, Handlers{Configuration: source, Handover: taker})
 		defer a.Close()
 		defer b.Close()
-		got, err := a.GetConfiguration(t.Context(), "b")
+		got, err := a.GetConfiguration(t.Context(), "b", 9)
+		is.NoErr(err)
+		is.Equal(got, Configuration{Revision: 9}) // nothing newer
+		got, err = a.GetConfiguration(t.Context(), "b", 8)
 		is.NoErr(err)
 		is.Equal(got, Configuration{Revision: 9, Document: []byte("[configuration]\nformat = 1\n")})
 		is.NoErr(a.ConfigurationChanged(t.Context(), "b", 10))
@@ -121,7 +127,7 @@
 		err = a.Handover(t.Context(), "b", json.RawMessage(`{"b":"<1>","a":2}`))
 		is.Equal(verdict.Of(err), verdict.MayHaveRun)
 		is.Equal(<-taker.state, `{"b":"<1>","a":2}`) // as it was encoded
-		_, err = b.GetConfiguration(t.Context(), "a")
+		_, err = b.GetConfiguration(t.Context(), "a", 0)
 		is.Equal(verdict.Of(err), verdict.NotRun) // a serves none
 		_, err = a.Heartbeat(t.Context(), "c", Heartbeat{})
 		is.Equal(verdict.Of(err), verdict.NotRun) // nobody listens as c
--- a/internal/peer/send.go
+++ b/internal/peer/send.go
@@ -347,10 +347,11 @@
 	return ticket.Outcome{Answer: ran.Answer, Err: ran.Err.toError()}, nil
 }
 
-// GetConfiguration asks a peer for the configuration in force there.
-func (n *Node) GetConfiguration(ctx context.Context, from fleet.InstanceID) (Configuration, error) {
+// GetConfiguration asks a peer for the configuration in force there. The answer has no document if the peer has
+// nothing above the revision known.
+func (n *Node) GetConfiguration(ctx context.Context, from fleet.InstanceID, known uint64) (Configuration, error) {
 	var configuration Configuration
-	if err := n.call(ctx, from, methodConfigurationGet, nil, &configuration); err != nil {
+	if err := n.call(ctx, from, methodConfigurationGet, configurationGet{known}, &configuration); err != nil {
 		return Configuration{}, err
 	}
 	return configuration, nil
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -108,7 +108,11 @@
 		}
 		return l.serveTicket(run), nil
 	case message.method == methodConfigurationGet && handlers.Configuration != nil:
-		configuration, err := handlers.Configuration.Configuration(l.ctx)
+		var get configurationGet
+		if len(message.params) > 0 && json.Unmarshal(message.params, &get) != nil {
+			return nil, invalid
+		}
+		configuration, err := handlers.Configuration.Configuration(l.ctx, get.Known)
 		if err != nil {
 			return nil, verdict.New(verdict.NotRun, verdict.NotReady, "%v", err)
 		}
