Leave the identity out of heartbeats

Cause: a heartbeat carried instance, incarnation and zone in both directions, and the receiver replaced all three by what the handshake proved. An instance sends and answers 32 heartbeats a second, so that these bytes alone exceeded the 2 KB/s for control.

Ruled out: fewer peers or a longer interval, on which the claim delay and the bound of the shares rest.

Change: the three fields are not encoded.

--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -28,11 +28,12 @@
 	methodServersHandover      = "servers.handover"
 )
 
-// Heartbeat is what two instances tell each other with every heartbeat.
+// Heartbeat is what two instances tell each other with every heartbeat. The identity is that of the handshake and
+// is not sent again: an instance sends and answers 32 heartbeats a second.
 type Heartbeat struct {
-	Instance    fleet.InstanceID   `json:"instance"`
-	Incarnation ticket.Incarnation `json:"incarnation"`
-	Zone        fleet.ZoneID       `json:"zone"`
+	Instance    fleet.InstanceID   `json:"-"`
+	Incarnation ticket.Incarnation `json:"-"`
+	Zone        fleet.ZoneID       `json:"-"`
 	// ViewDigest identifies the sender's view of the fleet.
 	ViewDigest uint64 `json:"view-digest"`
 	// Revision is the store revision of the configuration in force at the sender.
