Read the revision in force from the configuration part of the status report

Ruled out: accepting both shapes, because a report without a revision must not count as one. Change: report has the shape of GET /v1/status; one without a configuration is an error; a change that was found below a later write says so.

--- a/internal/command/cases_test.go
+++ b/internal/command/cases_test.go
@@ -17,7 +17,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
 	"github.com/medlarlatch/medlarlatch/internal/platform"
 	"github.com/medlarlatch/medlarlatch/internal/standin/inprocess"
@@ -36,6 +35,8 @@
 	files map[string]string
 	// stuck holds the entry instances that stay at revision 1.
 	stuck map[string]bool
+	// silent is an entry instance whose report lacks the configuration.
+	silent string
 }
 
 // RoundTrip implements http.RoundTripper by the host of the URL.
@@ -68,14 +69,13 @@
 			reply.WriteHeader(http.StatusUnauthorized)
 			return
 		}
-		entry := s.store.Entry(configuration.Key)
-		parsed, _ := catalogue.Parse("store", entry.Value)
-		report := map[string]any{"instance": id, "zone": zone, "ready": true, "revision": entry.Revision, "revision-since": "2000-01-01T00:00:00Z", "write-id": "", "extra": 1}
-		if ids := parsed.WriteIDs(); len(ids) > 0 {
-			report["write-id"] = ids[0]
-		}
+		revision := s.store.Entry(configuration.Key).Revision
 		if s.stuck[id] {
-			report["revision"], report["write-id"] = 1, "first"
+			revision = 1
+		}
+		report := map[string]any{"instance": id, "zone": zone, "ready": true, "extra": 1}
+		if id != s.silent {
+			report["configuration"] = map[string]any{"revision": revision, "since": "2000-01-01T00:00:00Z", "origin": "store"}
 		}
 		_ = json.NewEncoder(reply).Encode(report)
 	}
@@ -140,7 +140,7 @@
 	return all
 }
 
-// prepare runs a line that changes the stage: "store FAULTS", "list FAULTS", "stuck INSTANCE",
+// prepare runs a line that changes the stage: "store FAULTS", "list FAULTS", "stuck INSTANCE", "silent INSTANCE",
 // "put DOCUMENT", "write FILE TEXT" with \n for line ends, or "replace FILE OLD => NEW".
 func (s *stage) prepare(line string) {
 	verb, rest, _ := strings.Cut(line, " ")
@@ -155,6 +155,8 @@
 		s.list.SetFaults(faults)
 	case "stuck":
 		s.stuck[rest] = true
+	case "silent":
+		s.silent = rest
 	case "put":
 		s.store.Put(configuration.Key, rest)
 	case "write":
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -91,9 +92,11 @@
 	Instance      fleet.InstanceID `json:"instance"`
 	Zone          fleet.ZoneID     `json:"zone"`
 	Ready         bool             `json:"ready"`
-	Revision      uint64           `json:"revision"`
-	RevisionSince string           `json:"revision-since"`
-	WriteID       string           `json:"write-id"`
+	Configuration *struct {
+		Revision uint64 `json:"revision"`
+		Since    string `json:"since"`
+		Origin   string `json:"origin"`
+	} `json:"configuration"`
 
 	// Error is set here if the instance gave no report.
 	Error string `json:"error,omitempty"`
@@ -101,6 +104,11 @@
 	raw json.RawMessage
 }
 
+// confirms tells whether the instance has the revision or a later one in force.
+func (r report) confirms(revision uint64) bool {
+	return r.Error == "" && r.Configuration.Revision >= revision
+}
+
 // reports asks all entry instances at the same time, and returns a report for each of them.
 func (o *operator) reports(ctx context.Context, entries []fleet.Entry) []report {
 	reports := make([]report, len(entries))
@@ -112,6 +120,9 @@
 				err = json.Unmarshal(raw, &reports[i])
 				reports[i].raw = raw
 			}
+			if err == nil && reports[i].Configuration == nil {
+				err = errors.New("the report has no configuration")
+			}
 			reports[i].Instance, reports[i].Zone = entry.ID, entry.Zone
 			if err != nil {
 				reports[i].Error = err.Error()
@@ -150,9 +161,11 @@
 
 // accepted is the output of a change.
 type accepted struct {
-	Revision uint64               `json:"revision"`
-	WriteID  string               `json:"write-id"`
-	Change   catalogue.Difference `json:"change"`
+	Revision uint64 `json:"revision"`
+	// AtMost is set if the change was found below a later one; its own revision is not above this one.
+	AtMost  bool                 `json:"at-most,omitempty"`
+	WriteID string               `json:"write-id"`
+	Change  catalogue.Difference `json:"change"`
 	// Confirmed and Missing are set with --wait.
 	Confirmed []fleet.InstanceID `json:"confirmed,omitempty"`
 	Missing   []fleet.InstanceID `json:"missing,omitempty"`
@@ -168,7 +181,7 @@
 	if err != nil {
 		return err
 	}
-	result := accepted{Revision: done.Revision, WriteID: done.WriteID, Change: done.Change}
+	result := accepted{Revision: done.Revision, AtMost: done.AtMost, WriteID: done.WriteID, Change: done.Change}
 	var waited error
 	if wait {
 		waited = o.await(ctx, &result)
@@ -181,7 +194,11 @@
 	}
 	output := o.environment.Output
 	fmt.Fprint(output, result.Change.String())
-	fmt.Fprintf(output, "accepted at revision %d\n", result.Revision)
+	if result.AtMost {
+		fmt.Fprintf(output, "accepted, and in force with the later revision %d\n", result.Revision)
+	} else {
+		fmt.Fprintf(output, "accepted at revision %d\n", result.Revision)
+	}
 	if wait && waited == nil {
 		fmt.Fprintf(output, "in force at %d entry instances\n", len(result.Confirmed))
 	}
@@ -199,7 +216,7 @@
 		if err == nil && ctx.Err() == nil {
 			result.Confirmed, result.Missing = nil, nil
 			for _, r := range reports {
-				if r.Error == "" && r.Revision >= result.Revision {
+				if r.confirms(result.Revision) {
 					result.Confirmed = append(result.Confirmed, r.Instance)
 				} else {
 					result.Missing = append(result.Missing, r.Instance)
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -57,13 +57,13 @@
 		return printJSON(environment.Output, whole)
 	}
 	table := tabwriter.NewWriter(environment.Output, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "INSTANCE\tZONE\tREADY\tREVISION\tSINCE\tWRITE ID")
+	fmt.Fprintln(table, "INSTANCE\tZONE\tREADY\tREVISION\tSINCE\tFROM")
 	for _, r := range reports {
 		if r.Error != "" {
 			fmt.Fprintf(table, "%s\t%s\tno report\t-\t-\t%s\n", r.Instance, r.Zone, r.Error)
 			continue
 		}
-		fmt.Fprintf(table, "%s\t%s\t%t\t%d\t%s\t%s\n", r.Instance, r.Zone, r.Ready, r.Revision, r.RevisionSince, r.WriteID)
+		fmt.Fprintf(table, "%s\t%s\t%t\t%d\t%s\t%s\n", r.Instance, r.Zone, r.Ready, r.Configuration.Revision, r.Configuration.Since, r.Configuration.Origin)
 	}
 	return table.Flush()
 }
--- a/internal/configuration/editor_test.go
+++ b/internal/configuration/editor_test.go
@@ -64,6 +64,8 @@
 		single bool
 		want   string
 		out    bool
+		// later is set if another write is on top when the outcome is resolved.
+		later bool
 	}
 	many := make([]fleet.ZoneID, catalogue.MaxWriteIDs+1)
 	for i := range many {
@@ -80,6 +82,7 @@
 		"slow write, other single edit":      {faults: store.Faults{SlowWriteMillis: 900}, meanwhile: []fleet.ZoneID{"b"}, single: true, want: "accepted", out: true},
 		"slow write, same single edit":       {faults: store.Faults{SlowWriteMillis: 900}, meanwhile: []fleet.ZoneID{"zone-a"}, single: true, want: "conflict", out: true},
 		"slow write beyond the timeout":      {faults: store.Faults{SlowWriteMillis: 1500}, want: "accepted", out: true},
+		"reply lost, then another operator":  {faults: store.Faults{LoseReplies: 1}, meanwhile: []fleet.ZoneID{"b"}, healed: time.Second, want: "accepted", out: true, later: true},
 		"dropped, then very many writes":     {faults: store.Faults{DropWrites: 1, SlowWriteMillis: 900}, meanwhile: many, single: true, want: "unknown"},
 		"store behind, then not":             {faults: store.Faults{Behind: 1}, healed: 400 * time.Millisecond, want: "conflict"},
 		"store behind, single edit":          {faults: store.Faults{Behind: 1}, healed: 400 * time.Millisecond, single: true, want: "accepted", out: true},
@@ -106,9 +109,13 @@
 						putOut(s, zone)
 					}
 				})
-				_, err := newEditor(s, 7).Apply(ctx, takeOut("zone-a", tc.single))
+				if tc.later {
+					time.AfterFunc(time.Millisecond, func() { s.SetFaults(store.Faults{Down: true}) })
+				}
+				accepted, err := newEditor(s, 7).Apply(ctx, takeOut("zone-a", tc.single))
 				t.Log(err)
 				is.Equal(outcome(err), tc.want)
+				is.Equal(accepted.AtMost, tc.later)
 				time.Sleep(5 * time.Second) // late writes arrive
 				stored, faults := catalogue.Parse("store", s.Entry(configuration.Key).Value)
 				is.NoErr(faults.Err())
