--- a/internal/query/engine.go
+++ b/internal/query/engine.go
@@ -62,11 +62,14 @@
 	attempts atomic.Uint64
 	queries  atomic.Uint64
 	counters Counters
+	// overall has the latency of services that are too new for a percentile of their own.
+	overall serviceStats
 
 	// updating guards the states that outlive a plan.
 	updating sync.Mutex
 	replicas map[fleet.ServerID]*replicaState
 	services map[fleet.ServiceID]*serviceStats
+	trials   map[catalogue.ApplicationID]*atomic.Int64
 }
 
 // New returns an engine for an entry instance of the zone. It refuses queries until Update is called.
@@ -79,6 +82,7 @@
 		seed:     seed,
 		replicas: make(map[fleet.ServerID]*replicaState),
 		services: make(map[fleet.ServiceID]*serviceStats),
+		trials:   make(map[catalogue.ApplicationID]*atomic.Int64),
 	}
 	e.plan.Store(&plan{})
 	return e
