--- a/internal/command/cases_test.go
+++ b/internal/command/cases_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
+	"github.com/medlarlatch/medlarlatch/internal/httpapi"
 	"github.com/medlarlatch/medlarlatch/internal/platform"
 	"github.com/medlarlatch/medlarlatch/internal/standin/inprocess"
 	"github.com/medlarlatch/medlarlatch/internal/standin/instances"
@@ -226,6 +227,9 @@
 		s.hosts["127.0.0.1:7010"], s.hosts["127.0.0.1:7011"] = s.store, s.list
 		s.hosts["127.0.0.1:7100"] = http.HandlerFunc(answerQuery)
 		for _, v := range verbs() {
+			if v.name == "serve" {
+				continue // it runs until it is stopped; TestExamples of settings reads its file
+			}
 			output := s.run(strings.TrimPrefix(v.example, "medlarlatch "))
 			if strings.Contains(output, "exit code 2") || strings.Contains(output, "exit code 3") {
 				t.Errorf("%s\n%s", v.example, output)
@@ -234,6 +238,21 @@
 	})
 }
 
+// TestReport guards against a status report of the HTTP shell in another shape than the verbs read.
+func TestReport(t *testing.T) {
+	is := is.New(t)
+	text, err := json.Marshal(httpapi.Status{
+		Instance: "entry-1", Zone: "zone-a", Ready: true,
+		Configuration: httpapi.ConfigurationStatus{Revision: 5, Origin: "peer"},
+	})
+	is.NoErr(err)
+	var r report
+	is.NoErr(json.Unmarshal(text, &r))
+	is.True(r.confirms(5) && !r.confirms(6) && r.Ready)
+	is.Equal(r.Configuration.Origin, "peer")
+	is.Equal(string(r.Instance)+" "+string(r.Zone), "entry-1 zone-a")
+}
+
 // TestExitCodes guards against a code without a meaning or with two.
 func TestExitCodes(t *testing.T) {
 	is := is.New(t)
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -50,7 +50,7 @@
 // verbs returns the table. It is a function because the verb help reads it.
 func verbs() []verb {
 	return []verb{
-		applyVerb, checkVerb, diffVerb, getVerb, helpVerb, instanceVerb, queryVerb, statusVerb, versionVerb, zoneVerb,
+		applyVerb, checkVerb, diffVerb, getVerb, helpVerb, instanceVerb, queryVerb, serveVerb, statusVerb, versionVerb, zoneVerb,
 	}
 }
 
