--- a/internal/configuration/main_test.go
+++ b/internal/configuration/main_test.go
@@ -1,19 +1,9 @@
-package configuration_test
+package configuration
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/medlarlatch/medlarlatch/internal/seed"
 )
 
-// TestMain gives the generated schedules a fixed seed, so that every run has the same verdict. Another
-// seed can be given with -rapid.seed.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		if err := seed.Value.Set("1"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seed.Run(m) }
