Ask the peers that become known in the first second before an instance is ready

Cause: in the assembled process the first round started before the instance list was read and before a heartbeat, so its plan had no peer and it asked the store only. A restarted instance then became ready with an older configuration when the store answered from an older state. The former test gave every instance its plan at once and could not see it. Ruled out: a flag in the plan for whether peers are known, because a single instance never has any and would not become ready without another rule. Change: the first round goes on for 1 s and asks each peer as it becomes known; in the tests an instance knows no other for 600 ms after its start. An instance is ready at the earliest 1 s after its start. Mutation: with a first round of 1 ms TestNeverReverts fails (entry-07 became ready at revision 1 although a source had 4). Conclusion: a list that stays unreadable for longer than 1 s leaves the gap open; the assembly should start the spreader after the list was read once.

--- a/internal/configuration/cluster_test.go
+++ b/internal/configuration/cluster_test.go
@@ -49,6 +49,7 @@
 	holder   *configuration.Holder
 	spreader *configuration.Spreader
 	stop     context.CancelFunc
+	started  time.Time
 }
 
 // newCluster starts instances in three zones, with 2, 1 and 1 of each four.
@@ -135,7 +136,7 @@
 	holder := configuration.NewHolder(nil)
 	spreader := configuration.NewSpreader(holder, adapter, n, n, seeded(seed+1))
 	floor := n.reachable()
-	n.running.Store(&incarnation{holder, spreader, stop})
+	n.running.Store(&incarnation{holder, spreader, stop, time.Now()})
 	go spreader.Run(ctx)
 	go n.observe(ctx, holder, spreader, floor)
 }
@@ -149,7 +150,7 @@
 // reachable is the highest revision that the sources of this instance can tell it.
 func (n *node) reachable() uint64 {
 	floor := uint64(0)
-	plan := n.Plan()
+	plan := configuration.NewPlan(n.cluster.view, n.entry, everyEntry)
 	for _, peer := range append(plan.Near, plan.Far...) {
 		other := n.cluster.node(peer)
 		running := other.running.Load()
@@ -200,9 +201,17 @@
 	return nil
 }
 
+func everyEntry(fleet.Entry) bool { return true }
+
+// blindTime is how long an instance knows no other after its start.
+const blindTime = 600 * time.Millisecond
+
 // Plan implements configuration.Guide.
 func (n *node) Plan() configuration.Plan {
-	return configuration.NewPlan(n.cluster.view, n.entry, func(fleet.Entry) bool { return true })
+	if running := n.running.Load(); running == nil || time.Since(running.started) < blindTime {
+		return configuration.NewPlan(n.cluster.view, n.entry, func(fleet.Entry) bool { return false })
+	}
+	return configuration.NewPlan(n.cluster.view, n.entry, everyEntry)
 }
 
 // deliver waits for the network; a message that cannot arrive hangs until the context ends.
--- a/internal/configuration/spreader.go
+++ b/internal/configuration/spreader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,11 @@
 	watchWait = 2 * time.Second
 	// callTimeout bounds a call to a peer, and the store's part of the first round.
 	callTimeout = 800 * time.Millisecond
+	// settleTime is how long the first round asks every peer that becomes known. A process that has just
+	// started knows no peer before it has read the instance list and ended a heartbeat round (250 ms).
+	settleTime = time.Second
+	// settleInterval is the time between looks at the plan in the first round.
+	settleInterval = 50 * time.Millisecond
 	// pullInterval is the time between rounds that ask peers, so that a lost notification is made good
 	// well within the 5 s target even if the first peer that is asked does not answer.
 	pullInterval = time.Second
@@ -105,8 +111,8 @@
 	group.Wait()
 }
 
+// firstRound asks the store, and every peer that becomes known within settleTime.
 func (s *Spreader) firstRound(ctx context.Context) {
-	plan := s.guide.Plan()
 	var group sync.WaitGroup
 	group.Go(func() {
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
@@ -115,8 +121,18 @@
 			s.adoptFromStore(documents)
 		}
 	})
-	for _, peer := range append(append([]fleet.InstanceID(nil), plan.Near...), plan.Far...) {
-		group.Go(func() { s.ask(ctx, peer) })
+	asked := make(map[fleet.InstanceID]bool)
+	for end := time.Now().Add(settleTime); time.Now().Before(end); {
+		plan := s.guide.Plan()
+		for _, peer := range slices.Concat(plan.Near, plan.Far) {
+			if !asked[peer] {
+				asked[peer] = true
+				group.Go(func() { s.ask(ctx, peer) })
+			}
+		}
+		if sleep(ctx, settleInterval) != nil {
+			break
+		}
 	}
 	group.Wait()
 }
