Give the first caller its answer and bound the list of answers

An answer above the bound on remembered bytes was dropped before its own caller read it, and the list of remembered answers kept an element for each ticket that had left the window. Waiters now hold the run itself, whose outcome does not change; entries that left the window go from the list.

--- a/internal/ticket/runner.go
+++ b/internal/ticket/runner.go
@@ -102,7 +102,7 @@
 	if ticket.instance != r.settings.Instance || ticket.incarnation != r.incarnation {
 		return Outcome{Err: unknown("the ticket was issued by an incarnation that is gone")}
 	}
-	found, first, refused := r.claim(ctx, ticket.sequence, digest)
+	found, current, first, refused := r.claim(ctx, ticket.sequence, digest)
 	if refused != nil {
 		return Outcome{Err: refused}
 	}
@@ -110,23 +110,15 @@
 		go r.execute(ctx, found, execute)
 	}
 	select {
-	case <-found.done:
-		return r.outcome(found)
+	case <-current.done:
+		return current.outcome
 	case <-ctx.Done():
 	}
 	// Both may be ready; an outcome is worth more than "may have run".
-	select {
-	case <-found.done:
-		return r.outcome(found)
-	default:
-		return Outcome{Err: verdict.New(verdict.MayHaveRun, reasonOf(ctx), "the ticketed request is still running")}
+	if current.ended() {
+		return current.outcome
 	}
-}
-
-func (r *Runner) outcome(found *entry) Outcome {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return found.outcome
+	return Outcome{Err: verdict.New(verdict.MayHaveRun, reasonOf(ctx), "the ticketed request is still running")}
 }
 
 func reasonOf(ctx context.Context) verdict.Reason {
@@ -136,28 +128,28 @@
 	return verdict.Cancelled
 }
 
-// claim finds the ticket's entry and reports whether this call is the one that executes it.
-func (r *Runner) claim(ctx context.Context, sequence uint64, digest Digest) (*entry, bool, *verdict.Error) {
+// claim finds the ticket's entry with its run, and reports whether this call is the one that executes it.
+func (r *Runner) claim(ctx context.Context, sequence uint64, digest Digest) (*entry, *run, bool, *verdict.Error) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.window.trim(now)
 	found, refused := r.window.find(sequence, now)
 	if refused != nil {
-		return nil, false, refused
+		return nil, nil, false, refused
 	}
-	if found.done != nil {
+	if found.run != nil {
 		if found.digest != digest {
-			return nil, false, verdict.New(verdict.NotRun, verdict.TicketReused, "the ticket belongs to another request")
+			return nil, nil, false, verdict.New(verdict.NotRun, verdict.TicketReused, "the ticket belongs to another request")
 		}
-		return found, false, nil
+		return found, found.run, false, nil
 	}
 	r.window.use(sequence, found, digest)
 	if ctx.Err() != nil {
 		r.window.settle(found, Outcome{Err: verdict.New(verdict.NotRun, reasonOf(ctx), "the request came too late to run")})
-		return found, false, nil
+		return found, found.run, false, nil
 	}
-	return found, true, nil
+	return found, found.run, true, nil
 }
 
 func (r *Runner) execute(caller context.Context, found *entry, execute func(context.Context) Outcome) {
--- a/internal/ticket/runner_test.go
+++ b/internal/ticket/runner_test.go
@@ -155,6 +155,34 @@
 	}
 }
 
+// Guards against a first caller that loses a large answer to the bound, and against memory that grows
+// with the number of tickets that have run.
+func TestAnswersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRunner(t, testSettings, 1)
+		answer := Outcome{Answer: json.RawMessage(strings.Repeat("1", testSettings.OutcomeBytes+1))}
+		text := issue(t, r, 1)[0]
+		is.Equal(r.Run(t.Context(), text, Digest{}, func(context.Context) Outcome { return answer }), answer)
+		is.Equal(r.Run(t.Context(), text, Digest{}, nil).Err.Reason, verdict.ResultDropped)
+		small := Outcome{Answer: json.RawMessage("1")}
+		for i := range 1000 {
+			text := issue(t, r, 1)[0]
+			is.Equal(r.Run(t.Context(), text, Digest{}, func(context.Context) Outcome {
+				if i%7 == 0 {
+					issue(t, r, 4) // the ticket leaves the window while it runs
+				}
+				return small
+			}), small)
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		is.True(len(r.window.remembered) <= testSettings.OutcomeBytes)
+		is.True(r.window.bytes <= testSettings.OutcomeBytes)
+		is.True(r.window.bytes >= 0)
+	})
+}
+
 type brokenForwarder struct{ err *verdict.Error }
 
 func (f brokenForwarder) ForwardTicket(context.Context, fleet.InstanceID, Call) (Outcome, *verdict.Error) {
--- a/internal/ticket/window.go
+++ b/internal/ticket/window.go
@@ -25,10 +25,18 @@
 
 const usedBits = 1 << 20
 
-// entry is one issued ticket. done is nil until the first use and closed when the outcome is set.
+// entry is one issued ticket; run is nil until the first use.
 type entry struct {
-	issued  time.Time
-	digest  Digest
+	issued time.Time
+	digest Digest
+	run    *run
+	// gone is set when the entry has left the window.
+	gone bool
+}
+
+// run is one execution. The outcome does not change after done is closed, so that those who waited
+// get it also when the window drops it at once.
+type run struct {
 	done    chan struct{}
 	outcome Outcome
 }
@@ -56,12 +64,13 @@
 	for len(w.entries) > 0 {
 		oldest := w.entries[0]
 		keep := w.valid
-		if oldest.done != nil {
+		if oldest.run != nil {
 			keep *= 2
 		}
 		if len(w.entries) <= w.most && now.Sub(oldest.issued) < keep {
 			return
 		}
+		oldest.gone = true
 		w.forget(oldest)
 		w.entries[0] = nil
 		w.entries = w.entries[1:]
@@ -79,7 +88,7 @@
 		return nil, w.expired(sequence)
 	}
 	found := w.entries[sequence-w.low]
-	if found.done == nil && now.Sub(found.issued) >= w.valid {
+	if found.run == nil && now.Sub(found.issued) >= w.valid {
 		return nil, w.expired(sequence)
 	}
 	return found, nil
@@ -97,18 +106,18 @@
 func (w *window) use(sequence uint64, found *entry, digest Digest) {
 	w.used[sequence%usedBits/64] |= 1 << (sequence % 64)
 	found.digest = digest
-	found.done = make(chan struct{})
+	found.run = &run{done: make(chan struct{})}
 }
 
 // settle sets the outcome and drops the oldest answers above the bound.
 func (w *window) settle(found *entry, outcome Outcome) {
-	found.outcome = outcome
-	if size := len(outcome.Answer); size > 0 {
+	found.run.outcome = outcome
+	close(found.run.done)
+	if size := len(outcome.Answer); size > 0 && !found.gone {
 		w.remembered = append(w.remembered, found)
 		w.bytes += size
 	}
-	close(found.done)
-	for w.bytes > w.mostBytes {
+	for len(w.remembered) > 0 && (w.bytes > w.mostBytes || w.remembered[0].gone) {
 		w.forget(w.remembered[0])
 		w.remembered[0] = nil
 		w.remembered = w.remembered[1:]
@@ -117,9 +126,20 @@
 
 // forget drops the answer of an entry.
 func (w *window) forget(found *entry) {
-	if len(found.outcome.Answer) == 0 {
+	if found.run == nil || !found.run.ended() || len(found.run.outcome.Answer) == 0 {
 		return
 	}
-	w.bytes -= len(found.outcome.Answer)
-	found.outcome = Outcome{Err: verdict.New(verdict.Ran, verdict.ResultDropped, "the request ran; its answer is no longer held")}
+	w.bytes -= len(found.run.outcome.Answer)
+	found.run = &run{done: found.run.done, outcome: Outcome{
+		Err: verdict.New(verdict.Ran, verdict.ResultDropped, "the request ran; its answer is no longer held"),
+	}}
+}
+
+func (r *run) ended() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
 }
