Settle all parts of a frame that is withdrawn

A frame that is still queued at the first deadline of its parts is withdrawn, but parts with later deadlines stayed open until the connection ended (1 s instead of 100 ms in TestFrameIsWithdrawnAtItsFirstDeadline, which failed before). They are settled as not run at once. The listener goes on after it ran out of file descriptors; no test covers that.

go test -race -count=15 ./internal/peer passes.

--- a/internal/peer/methods_test.go
+++ b/internal/peer/methods_test.go
@@ -177,3 +177,31 @@
 func (l *lateRouter) RunTicket(ctx context.Context, from fleet.InstanceID, call ticket.Call) ticket.Outcome {
 	return l.routers[l.name].RunTicket(ctx, from, call)
 }
+
+// Guards against parts that wait for their own deadline after the frame that holds them was withdrawn
+// at an earlier one, and against "may have run" for a frame that was never written.
+func TestFrameIsWithdrawnAtItsFirstDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		answerParts(t, n, func(w wire, _ json.RawMessage) {
+			time.Sleep(time.Hour)
+			_ = w.Close()
+		})
+		a := n.join(t, "a", testKey, Handlers{})
+		for attempt := range uint64(2) {
+			// The peer reads the first frame and stalls the writer with the second.
+			parts := testParts(1, time.Minute)
+			parts[0].Attempt = 100 + attempt
+			a.Send(t.Context(), "b", parts, func(query.Result) {})
+			synctest.Wait()
+		}
+		parts := testParts(3, 100*time.Millisecond)
+		parts[2].Deadline = time.Now().Add(time.Minute)
+		start := time.Now()
+		requireVerdict(t, collect(t.Context(), t, a, "b", parts), 3, verdict.NotRun, verdict.PeerUnreachable)
+		is.Equal(time.Since(start), 100*time.Millisecond)
+		a.Close()
+		time.Sleep(2 * time.Hour)
+	})
+}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
@@ -108,6 +109,9 @@
 	}, nil
 }
 
+// acceptPause is how long the listener rests when the process has no file descriptor left.
+const acceptPause = 20 * time.Millisecond
+
 // Serve accepts peers until the listener fails or the node is closed.
 func (n *Node) Serve(listener net.Listener) error {
 	n.mu.Lock()
@@ -119,6 +123,11 @@
 	n.mu.Unlock()
 	for {
 		connection, err := listener.Accept()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
+			// These pass when other connections end; peers would not find the listener again.
+			time.Sleep(acceptPause)
+			continue
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/peer/send.go
+++ b/internal/peer/send.go
@@ -202,10 +202,11 @@
 			continue
 		}
 		if c.send.withdraw() {
-			c.fail(part, verdict.New(verdict.NotRun, verdict.PeerUnreachable, "not written to %q in time", c.to))
-		} else {
-			c.fail(part, verdict.New(verdict.MayHaveRun, verdict.DeadlinePassed, "no result from %q", c.to))
+			// The parts with later deadlines were in the same frame.
+			c.failAll(verdict.New(verdict.NotRun, verdict.PeerUnreachable, "not written to %q in time", c.to))
+			return
 		}
+		c.fail(part, verdict.New(verdict.MayHaveRun, verdict.DeadlinePassed, "no result from %q", c.to))
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
