--- a/internal/query/stats.go
+++ b/internal/query/stats.go
@@ -16,11 +16,12 @@
 	// avoidFirst and avoidLongest bound how long a replica is passed over after failures in a row.
 	avoidFirst   = 100 * time.Millisecond
 	avoidLongest = 3200 * time.Millisecond
-	// forgetting halves what is known about a replica's latency for each second without a sample, so
-	// that a replica that was slow once is tried again.
-	forgetting = time.Second
+	// forgetting is the half-life of what is known about a replica's latency without a sample, so that a
+	// replica that was slow once is tried again. A trial of a straggler costs one hedge.
+	forgetting = 5 * time.Second
 	// Penalties of the choice between replicas, in time. Crossing zones costs 1 ms each way.
 	otherZonePenalty = 2 * time.Millisecond
+	unknownPenalty   = 5 * time.Millisecond
 	notWarmPenalty   = 250 * time.Millisecond
 	avoidPenalty     = time.Second
 )
@@ -41,7 +42,7 @@
 
 // account takes a result that matched an attempt sent at the given time.
 func (s *replicaState) account(result *Result, sent, now time.Time) {
-	s.holding.Observe(result.Held, now)
+	s.holding.Observe(result.Held, sent)
 	if result.Leaving {
 		s.leavingUntil.Store(now.Add(leavingMemory).UnixNano())
 	}
@@ -56,7 +57,7 @@
 	switch result.Err.Reason {
 	case verdict.Cancelled, verdict.HedgeRefused:
 	case verdict.VersionNotHeld:
-		s.holding.Withdraw(result.Version, now)
+		s.holding.Withdraw(result.Version, sent)
 	default:
 		if failedBeforeServer(result.Err) {
 			// The replica is not at fault; it is avoided briefly while its owner changes.
@@ -79,19 +80,21 @@
 }
 
 // learnAtLeast adds the time after which an attempt was given up. Without it a slow replica whose
-// attempts always lose to hedges would never be known as slow.
+// attempts always lose to hedges would never be known as slow. The part would have taken longer, how
+// much is not known; four times the time is assumed, which keeps a straggler unused for several half-lives.
 func (s *replicaState) learnAtLeast(took time.Duration, now time.Time) {
-	if int64(took) > s.latency.Load() {
-		s.learn(took, now)
+	if 4*int64(took) > s.latency.Load() {
+		s.latency.Store(2 * int64(took))
+		s.sampled.Store(now.UnixNano())
 	}
 }
 
 // score is the expected time of a new part at the replica; less is better.
-func (s *replicaState) score(typical int64, local bool, now int64) int64 {
+func (s *replicaState) score(typical int64, local bool, now time.Time) int64 {
 	latency := typical
 	wait := int64(0)
 	if known := s.latency.Load(); known != 0 {
-		age := max(now-s.sampled.Load(), 0)
+		age := max(now.UnixNano()-s.sampled.Load(), 0)
 		latency += (known - typical) >> min(age/int64(forgetting), 40)
 		wait = max(s.wait.Load()-age, 0)
 	}
@@ -102,13 +105,13 @@
 	if s.cold.Load() {
 		total += int64(notWarmPenalty)
 	}
-	if s.avoidUntil.Load() > now {
+	if s.avoidUntil.Load() > now.UnixNano() {
 		total += int64(avoidPenalty)
 	}
 	return total
 }
 
-func (s *replicaState) leaving(now int64) bool { return s.leavingUntil.Load() > now }
+func (s *replicaState) leaving(now time.Time) bool { return s.leavingUntil.Load() > now.UnixNano() }
 
 const (
 	// unknownHedgeShare is the share of the time left after which a part is hedged while the service's
@@ -161,10 +164,13 @@
 	s.typical.Store(known + (int64(took)-known)/32)
 }
 
-// hedgeDelay is how long a part runs before it is hedged.
-func (s *serviceStats) hedgeDelay(left time.Duration) time.Duration {
+// hedgeDelay is how long a part runs before it is hedged. While the service is too new for a
+// percentile of its own, that of all new services counts.
+func (s *serviceStats) hedgeDelay(overall *serviceStats, left time.Duration) time.Duration {
 	if s.samples.Load() < leastSamples {
-		return left / unknownHedgeShare
+		if s = overall; s.samples.Load() < leastSamples {
+			return left / unknownHedgeShare
+		}
 	}
 	return max(time.Duration(s.percentile.Load()), leastHedgeDelay)
 }
@@ -180,6 +186,9 @@
 	}
 }
 
+// scarce tells whether more than half of the burst is used.
+func (b *budget) scarce() bool { return b.left.Load() < budgetBurst/2 }
+
 func (b *budget) take() bool {
 	for {
 		left := b.left.Load()
