Keep tickets within what the caller interface takes

The HTTP interface refuses tickets above 256 characters, and an instance name of 200 bytes gave one of 387. Names are limited to 100 bytes, whose tickets have 227 characters. The test fails with the former limit.

go test -race -count=5 ./internal/ticket ./internal/peer ./pkg/... passes.

--- a/internal/ticket/runner.go
+++ b/internal/ticket/runner.go
@@ -56,7 +56,7 @@
 // unpredictable outside tests: two processes with the same incarnation would both run a ticket.
 func New(settings Settings, random io.Reader) (*Runner, error) {
 	if settings.Instance == "" || len(settings.Instance) > maxInstance || len(settings.Key) < 16 {
-		return nil, errors.New("tickets need an instance name of 1 to 200 bytes and a key of at least 16 bytes")
+		return nil, errors.New("tickets need an instance name of 1 to 100 bytes and a key of at least 16 bytes")
 	}
 	r := &Runner{settings: settings.withDefaults()}
 	if _, err := io.ReadFull(random, r.incarnation[:]); err != nil {
--- a/internal/ticket/runner_test.go
+++ b/internal/ticket/runner_test.go
@@ -236,3 +236,17 @@
 		}
 	})
 }
+
+// Guards against tickets that the caller interface, which takes 256 characters, would refuse.
+func TestTicketOfTheLongestNameFits(t *testing.T) {
+	is := is.New(t)
+	settings := testSettings
+	settings.Instance = fleet.InstanceID(strings.Repeat("e", maxInstance))
+	r := newRunner(t, settings, 1)
+	text := issue(t, r, 1)[0]
+	is.True(len(text) <= 256)
+	is.Equal(r.Run(t.Context(), text, Digest{}, func(context.Context) Outcome { return Outcome{} }), Outcome{})
+	settings.Instance += "e"
+	_, err := New(settings, rand.New(rand.NewSource(1)))
+	is.True(err != nil)
+}
--- a/internal/ticket/text.go
+++ b/internal/ticket/text.go
@@ -17,8 +17,8 @@
 	textPrefix  = "t1-"
 	sumBytes    = 16
 	fixedBytes  = len(Incarnation{}) + 8
-	mostText    = 512
-	maxInstance = 200
+	mostText    = 256
+	maxInstance = 100
 )
 
 var textEncoding = base32.NewEncoding("abcdefghijklmnopqrstuvwxyz234567").WithPadding(base32.NoPadding)
