--- a/internal/backend/cancel.go
+++ b/internal/backend/cancel.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
@@ -35,25 +36,26 @@
 	}
 	body := append(appendString([]byte(`{"request-id":`), call.RequestID), '}')
 	request := append(appendHead(nil, "POST", "/v1/cancel", p.address, len(body)), body...)
-	if t.simple(p, c, request, latest) {
+	if _, ok := t.simple(p, c, request, latest); ok {
 		p.put(c, t.options.Connections(server))
 	} else {
 		p.drop(c)
 	}
 }
 
-// simple sends a request whose answer matters only as a sign that the connection works.
-func (t *Transport) simple(p *pool, c *conn, request []byte, deadline time.Time) bool {
+// simple sends a request that changes nothing and returns the body of its answer. Without ok the connection is
+// of no use any more.
+func (t *Transport) simple(p *pool, c *conn, request []byte, deadline time.Time) (body []byte, ok bool) {
 	var done exchange
 	if done.written, done.err = c.write(request, deadline); done.err != nil {
-		return false
+		return nil, false
 	}
 	c.read(&done)
 	if done.err != nil || done.closing {
-		return false
+		return nil, false
 	}
 	p.lastAnswer.Store(c.lastRead.UnixNano())
-	return true
+	return done.body, true
 }
 
 // probe asks for the server's state over an idle connection.
@@ -61,7 +63,7 @@
 	t.counters.probes.Add(1)
 	started := time.Now()
 	request := appendHead(nil, "GET", "/v1/state", p.address, 0)
-	if t.simple(p, c, request, started.Add(probeTimeout)) {
+	if _, ok := t.simple(p, c, request, started.Add(probeTimeout)); ok {
 		return true
 	}
 	if p.lastAnswer.Load() > started.UnixNano() {
@@ -70,6 +72,27 @@
 	return false
 }
 
+// State asks a server for its state. The answer is a hint: it may lag behind what the server's answers to queries
+// say. ok is false without a usable answer before the deadline.
+func (t *Transport) State(ctx context.Context, server fleet.Server, deadline time.Time) (reply replica.Reply, ok bool) {
+	p := t.pools.of(server)
+	c, failure := t.connect(ctx, p, server, deadline, false)
+	if failure != nil {
+		return replica.Reply{}, false
+	}
+	body, ok := t.simple(p, c, appendHead(nil, "GET", "/v1/state", p.address, 0), deadline)
+	if !ok {
+		p.drop(c)
+		return replica.Reply{}, false
+	}
+	p.put(c, t.options.Connections(server))
+	var state message
+	if json.Unmarshal(body, &state) != nil {
+		return replica.Reply{}, false
+	}
+	return replica.Reply{StartMark: state.StartMark, Held: state.Held, Leaving: state.Leaving}, true
+}
+
 // probeQuiet looks through the idle connections until ctx ends.
 func (t *Transport) probeQuiet(ctx context.Context) {
 	ticker := time.NewTicker(probeInterval)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -158,6 +158,7 @@
 	group.Go(func() { i.beat(work) })
 	group.Go(func() { i.followConfiguration(work) })
 	group.Go(func() { i.followChanges(work) })
+	group.Go(func() { i.followStates(work) })
 	group.Go(func() { i.spreader.Run(work) })
 	group.Go(func() { failed <- ignoreClosed(callers.Serve(listeners.callers)) })
 	klog.InfoS("Entry instance started", "instance", i.settings.Instance, "zone", i.settings.Zone, "callers", i.settings.Callers)
--- a/internal/standin/cluster/load.go
+++ b/internal/standin/cluster/load.go
@@ -29,13 +29,23 @@
 	Queries, Whole, Partial, Refused, Failed int
 	Asked, Answered                          int
 	Latencies                                Latencies
-	Reasons                                  map[verdict.Reason]int
+	// Reasons counts the refusals of queries, and Missing the shards without an answer, by reason.
+	Reasons, Missing map[verdict.Reason]int
 	// Keys holds the keys of the non-idempotent queries that were answered.
 	Keys []string
 	// Wrong holds answers that do not fit the data.
 	Wrong []error
 }
 
+func (o *Outcome) missing(coverage *api.Coverage) {
+	if coverage == nil {
+		return
+	}
+	for _, missing := range coverage.Missing {
+		o.Missing[missing.Reason]++
+	}
+}
+
 // Coverage is the share of shards that were answered among those of all answers.
 func (o *Outcome) Coverage() float64 {
 	if o.Asked == 0 {
@@ -101,7 +111,7 @@
 	var group sync.WaitGroup
 	var mutex sync.Mutex
 	for name, rate := range load.PerSecond {
-		outcome := &Outcome{Reasons: make(map[verdict.Reason]int)}
+		outcome := &Outcome{Reasons: make(map[verdict.Reason]int), Missing: make(map[verdict.Reason]int)}
 		outcomes[name] = outcome
 		first := g.number
 		g.number += 1 << 20
@@ -124,7 +134,7 @@
 		ID: fmt.Sprintf("%s-%d", name, number), DeadlineMillis: int64(application.DeadlineMillis), Query: application.Data.Query(number),
 	}
 	started := time.Now()
-	answer, reason, err := g.send(ctx, name, number, query, application.Idempotent)
+	answer, refusal, err := g.send(ctx, name, number, query, application.Idempotent)
 	elapsed := time.Since(started)
 	var wrong error
 	if answer != nil {
@@ -136,19 +146,17 @@
 	switch {
 	case err != nil:
 		outcome.Failed++
-		outcome.Reasons[reason]++
 		return
 	case answer == nil:
 		outcome.Refused++
-		outcome.Reasons[reason]++
+		outcome.Reasons[refusal.Reason]++
+		outcome.missing(refusal.Coverage)
 		return
 	case answer.Coverage.Answered == answer.Coverage.Asked:
 		outcome.Whole++
 	default:
 		outcome.Partial++
-		for _, missing := range answer.Coverage.Missing {
-			outcome.Reasons[missing.Reason]++
-		}
+		outcome.missing(&answer.Coverage)
 	}
 	outcome.Asked += answer.Coverage.Asked
 	outcome.Answered += answer.Coverage.Answered
@@ -162,22 +170,15 @@
 }
 
 // send uses a ticket through the client for what must not run twice, and plain HTTP for the rest.
-func (g *Generator) send(ctx context.Context, name string, number uint64, query api.Query, idempotent bool) (*api.Answer, verdict.Reason, error) {
+func (g *Generator) send(ctx context.Context, name string, number uint64, query api.Query, idempotent bool) (*api.Answer, *api.Refusal, error) {
 	if idempotent {
-		answer, refusal, err := g.cluster.Query(ctx, g.choose(number), name, query)
-		if refusal != nil {
-			return nil, refusal.Reason, nil
-		}
-		return answer, verdict.ConnectionLost, err
+		return g.cluster.Query(ctx, g.choose(number), name, query)
 	}
 	bounded, cancel := context.WithTimeout(ctx, time.Duration(query.DeadlineMillis)*time.Millisecond)
 	defer cancel()
 	answer, err := g.client.Query(bounded, client.Request{Application: name, ID: query.ID, Query: query.Query})
 	if failure, ok := errors.AsType[*verdict.Error](err); ok {
-		return nil, failure.Reason, nil
-	}
-	if err != nil {
-		return nil, verdict.ServerError, err
+		return nil, &api.Refusal{Verdict: failure.Verdict, Reason: failure.Reason, Detail: failure.Detail}, nil
 	}
-	return &answer, verdict.None, nil
+	return &answer, nil, err
 }
--- a/internal/standin/program/demo.go
+++ b/internal/standin/program/demo.go
@@ -206,8 +206,8 @@
 		name, o.Queries, o.Whole, o.Partial, o.Refused, o.Failed, o.Coverage(),
 		millis(o.Latencies.Percentile(50)), millis(o.Latencies.Percentile(99)))
 	for _, reason := range verdict.Reasons() {
-		if o.Reasons[reason] > 0 {
-			fmt.Printf("    %s: %d\n", reason, o.Reasons[reason])
+		if o.Reasons[reason]+o.Missing[reason] > 0 {
+			fmt.Printf("    %s: %d queries refused, %d shards missing\n", reason, o.Reasons[reason], o.Missing[reason])
 		}
 	}
 	d.answered += o.Whole + o.Partial
--- a/internal/standin/program/faults_test.go
+++ b/internal/standin/program/faults_test.go
@@ -158,8 +158,8 @@
 	check.NoErr(c.Wait(3, 10*time.Second))
 	group.Wait()
 	for name, outcome := range outcomes {
-		t.Logf("%s: %d queries, %d whole, %d partial, %d refused, %d failed, %v", name,
-			outcome.Queries, outcome.Whole, outcome.Partial, outcome.Refused, outcome.Failed, outcome.Reasons)
+		t.Logf("%s: %d queries, %d whole, %d partial, %d refused, %d failed, %v, shards missing %v", name,
+			outcome.Queries, outcome.Whole, outcome.Partial, outcome.Refused, outcome.Failed, outcome.Reasons, outcome.Missing)
 		check.Equal(len(outcome.Wrong), 0)
 		check.Equal(outcome.Failed, 0) // no request was cut
 	}
--- a/internal/standin/program/processes_test.go
+++ b/internal/standin/program/processes_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"os"
+	"runtime/pprof"
 	"testing"
 	"time"
 
@@ -18,11 +19,27 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(runVariable) != "" {
-		os.Exit(Run(os.Args[1:]))
+		stop := profile()
+		code := Run(os.Args[1:])
+		stop()
+		os.Exit(code)
 	}
 	os.Exit(m.Run())
 }
 
+// profile writes the processor profile of an entry instance to the directory that MEDLARLATCH_PROFILE names.
+func profile() (stop func()) {
+	directory := os.Getenv("MEDLARLATCH_PROFILE")
+	if directory == "" || os.Args[1] != "entry" {
+		return func() {}
+	}
+	file, err := os.CreateTemp(directory, "entry-*.pprof")
+	if err != nil || pprof.StartCPUProfile(file) != nil {
+		return func() {}
+	}
+	return pprof.StopCPUProfile
+}
+
 func start(t *testing.T, applications ...string) *cluster.Cluster {
 	t.Helper()
 	c, err := cluster.Start(context.Background(), cluster.Options{
