--- a/internal/configuration/spreader.go
+++ b/internal/configuration/spreader.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// watchWait is how long a long poll waits; a watcher makes two calls a minute when nothing changes.
-	watchWait = 30 * time.Second
+	// watchWait is how long a long poll waits. A connection can go silent, and the poll on it then ends
+	// only after this time: it is short enough for the 5 s target even if the connections of all
+	// watchers go silent at once. A watcher makes one call in 2 s when nothing changes.
+	watchWait = 2 * time.Second
 	// callTimeout bounds a call to a peer, and the store's part of the first round.
 	callTimeout = 800 * time.Millisecond
 	// pullInterval is the time between rounds that ask peers, so that a lost notification is made good
@@ -23,7 +25,7 @@
 	// watchBackoffLeast and watchBackoffMost bound the pause after a failed watch. The longest keeps
 	// the end of an outage to adoption within the 5 s target.
 	watchBackoffLeast = 100 * time.Millisecond
-	watchBackoffMost  = 2 * time.Second
+	watchBackoffMost  = time.Second
 )
 
 // Guide gives the current plan; it is asked before each round.
@@ -50,6 +52,9 @@
 	started    chan struct{}
 	heard      chan fleet.InstanceID
 	storeAlive atomic.Bool
+	// position is the highest revision that the store gave. It is used by the first round and then by
+	// the watch only.
+	position uint64
 }
 
 // NewSpreader returns a spreader that does nothing until Run.
@@ -107,7 +112,7 @@
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		if documents, err := s.store.Watch(bounded, Prefix, 0, 0); err == nil {
-			s.adopt(documents, Source{Origin: FromStore})
+			s.adoptFromStore(documents)
 		}
 	})
 	for _, peer := range append(append([]fleet.InstanceID(nil), plan.Near...), plan.Far...) {
@@ -116,6 +121,15 @@
 	group.Wait()
 }
 
+// adoptFromStore moves the position by the documents, not by the store's own revision: a store that
+// answers from an older state then cannot make the watch skip a document.
+func (s *Spreader) adoptFromStore(documents []Document) {
+	for _, document := range documents {
+		s.position = max(s.position, document.Revision)
+	}
+	s.adopt(documents, Source{Origin: FromStore})
+}
+
 func (s *Spreader) adopt(documents []Document, source Source) {
 	for _, document := range documents {
 		adopted, err := s.holder.Adopt(document, source)
@@ -135,11 +149,8 @@
 	}
 }
 
-// watch polls the store while the plan says so. The position is the highest revision that the store
-// gave, not the store's own revision: a store that answers from an older state then cannot make the
-// watch skip a document.
+// watch polls the store while the plan says so.
 func (s *Spreader) watch(ctx context.Context) {
-	position := uint64(0)
 	backoff := watchBackoffLeast
 	for ctx.Err() == nil {
 		if !s.guide.Plan().Watch {
@@ -156,7 +167,7 @@
 			wait = 0
 		}
 		bounded, cancel := context.WithTimeout(ctx, wait+callTimeout)
-		documents, err := s.store.Watch(bounded, Prefix, position, wait)
+		documents, err := s.store.Watch(bounded, Prefix, s.position, wait)
 		cancel()
 		s.storeAlive.Store(err == nil)
 		if err != nil {
@@ -167,10 +178,7 @@
 			continue
 		}
 		backoff = watchBackoffLeast
-		for _, document := range documents {
-			position = max(position, document.Revision)
-		}
-		s.adopt(documents, Source{Origin: FromStore})
+		s.adoptFromStore(documents)
 	}
 }
 
