--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -98,6 +98,30 @@
 	check.Equal(recorder.Header().Get("Retry-After"), "2")
 }
 
+// TestHeaderLimit guards against callers that make the instance hold large headers.
+func TestHeaderLimit(t *testing.T) {
+	metrics, err := telemetry.New("e1", "z1")
+	is.New(t).NoErr(err)
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = NewCallers(&fakeService{}, metrics)
+	server.Start()
+	defer server.Close()
+	for name, c := range map[string]struct{ length, status int }{
+		"within": {api.MaxHeaderBytes - 1024, http.StatusOK}, "beyond": {api.MaxHeaderBytes + 1, http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			request, err := http.NewRequest(http.MethodPost, server.URL+"/v1/applications/a/query", strings.NewReader(`{"id":"q","deadline-millis":10,"query":1}`))
+			check.NoErr(err)
+			request.Header.Set("X-Long", strings.Repeat("x", c.length))
+			response, err := http.DefaultClient.Do(request)
+			check.NoErr(err)
+			_ = response.Body.Close()
+			check.Equal(response.StatusCode, c.status)
+		})
+	}
+}
+
 type fakeReporter struct{}
 
 func (fakeReporter) Ready() (bool, verdict.Reason) { return false, verdict.ZoneOut }
--- a/internal/standin/program/demo.go
+++ b/internal/standin/program/demo.go
@@ -23,7 +23,9 @@
 	cluster   *cluster.Cluster
 	generator *cluster.Generator
 	load      map[string]int
-	broken    []string
+	// zones holds the zone of each backend server.
+	zones  map[string]string
+	broken []string
 	// answered and settled count the answers, and those to queries that must not run twice, of all phases.
 	answered, settled int
 }
@@ -56,10 +58,17 @@
 	}
 	fmt.Printf("4 entry instances in 3 zones, 80 replicas of 40 services and 9 of one that must not run twice; up in %.1f s\n",
 		time.Since(started).Seconds())
-	d := &demo{cluster: c, load: map[string]int{"marshal-search": 40, "handheld-tokens": 40, "corral-ledger": 10}}
+	d := &demo{cluster: c, zones: make(map[string]string), load: map[string]int{"marshal-search": 40, "handheld-tokens": 40, "corral-ledger": 10}}
 	if d.generator, err = c.NewGenerator(); err != nil {
 		return err
 	}
+	status, err := c.Status(ctx, 0)
+	if err != nil {
+		return err
+	}
+	for _, server := range status.Servers {
+		d.zones[server.Server] = server.Zone
+	}
 	go d.generator.Follow(ctx)
 	if err := d.phases(ctx); err != nil {
 		return err
@@ -130,14 +139,13 @@
 
 // received counts the queries that reached a zone's servers in this phase; -1 if that cannot be read.
 func (d *demo) received(ctx context.Context, zone string) (count int64) {
-	status, err := d.cluster.Status(ctx, 0)
-	report, failed := d.cluster.Observed(ctx)
-	if err != nil || failed != nil {
+	report, err := d.cluster.Observed(ctx)
+	if err != nil {
 		return -1
 	}
-	for _, server := range status.Servers {
-		if server.Zone == zone {
-			count += report.Servers[server.Server].Queries
+	for id, seen := range report.Servers {
+		if d.zones[id] == zone {
+			count += seen.Queries
 		}
 	}
 	return count
@@ -243,6 +251,11 @@
 	}
 	fmt.Printf("; at most %d connections; %d shed, %d cancelled, %d above slots, cold ones fell over %d times\n",
 		connections, shed, cancelled, over, fellOver)
+	byZone := make(map[string]int64)
+	for id, seen := range report.Servers {
+		byZone[d.zones[id]] += seen.Queries
+	}
+	fmt.Printf("  subrequests by zone: a %d, b %d, c %d\n", byZone["zone-a"], byZone["zone-b"], byZone["zone-c"])
 }
 
 func percent(part, whole int64) float64 { return 100 * float64(part) / float64(max(whole, 1)) }
