--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -63,8 +63,10 @@
 	zonesOut     map[ZoneID]bool
 	instancesOut map[InstanceID]bool
 	// going holds the time at which a peer was first known to leave or to be out.
-	going     map[InstanceID]time.Time
-	excluded  map[InstanceID]bool
+	going    map[InstanceID]time.Time
+	excluded map[InstanceID]bool
+	// now is the time of the last event.
+	now       time.Time
 	round     time.Time
 	completed time.Time
 	// unfenced is the start of the first round after the last fence; older acknowledgements are void.
@@ -182,10 +184,16 @@
 func (m *Membership) Released() bool { return m.excluded[m.self.ID] }
 
 // Acknowledges tells whether this instance reaches the peer and so claims nothing that the peer is the
-// first to own. The ownership table is to be replaced before this is told to the peer.
+// first to own. The ownership table is to be replaced before this is told to the peer. An answer older than
+// ClaimDelay-UnreachableAfter is not enough: the peer relies on the acknowledgement for UnreachableAfter,
+// and in a cut of one direction this instance could claim before that. The time is that of the last event,
+// which for an answer to a heartbeat is its HeartbeatReceived.
 func (m *Membership) Acknowledges(id InstanceID) bool {
-	_, known := m.view.Entry(id)
-	return known && m.current.Contact(id).Reachable
+	if _, known := m.view.Entry(id); !known || !m.current.Contact(id).Reachable {
+		return false
+	}
+	p, ok := m.peers[id]
+	return !ok || p.last().IsZero() || m.now.Sub(p.last()) < ClaimDelay-UnreachableAfter
 }
 
 // CompletedRound returns the start of the last round in which every peer answered or failed.
@@ -220,6 +228,7 @@
 
 // Advance applies the passing of time and returns what differs from before.
 func (m *Membership) Advance(now time.Time) Change {
+	m.now = now
 	change := m.dropSilent(now)
 	for _, id := range m.heartbeat {
 		p := m.peer(id)
@@ -240,15 +249,19 @@
 	return change
 }
 
-func (m *Membership) contactAt(now time.Time, p *peer) Contact {
-	last := p.answered
-	if last.IsZero() {
-		last = p.since
+// last returns the time from which the peer's silence counts; zero if it was sent nothing yet.
+func (p *peer) last() time.Time {
+	if p.answered.IsZero() {
+		return p.since
 	}
-	if last.IsZero() {
+	return p.answered
+}
+
+func (m *Membership) contactAt(now time.Time, p *peer) Contact {
+	if p.last().IsZero() {
 		return Contact{Reachable: true, Granted: p.granted}
 	}
-	silence := now.Sub(last)
+	silence := now.Sub(p.last())
 	p.granted = p.granted || silence >= ClaimDelay
 	contact := Contact{Reachable: silence < UnreachableAfter, Granted: p.granted, Silent: silence >= ClaimDelay}
 	contact.Acknowledged = contact.Reachable && p.acknowledged
