Send a cold replica the few parts that warm it

Cause: a replica last seen as not warm kept a penalty of 250 ms for ever, so it got no part while another was warm, and its owner's ramp never widened. Results that peers compose for unreachable owners have no warmth and marked replicas as cold. Ruled out: a random share of the parts, because it costs the same when a replica has been cold for long. Change: the penalty halves every 50 ms without news; results of which the owner did not speak change neither warmth nor wait. The tail model refuses hedges as the owner does: 22 requests earn one, two are kept. Conclusion: a returned replica warms up while the warm one answers.

--- a/internal/query/choose.go
+++ b/internal/query/choose.go
@@ -58,7 +58,7 @@
 func (s *service) scan(start int, version snapshot.Version, tried []*replicaState, hedge bool, now time.Time, except *replica) (*replica, snapshot.Belief) {
 	for i := range s.replicas {
 		candidate := &s.replicas[(start+i)%len(s.replicas)]
-		if candidate == except || candidate.state.leaving(now) || hedge && candidate.state.cold.Load() ||
+		if candidate == except || candidate.state.leaving(now) || hedge && candidate.state.coldSince.Load() != 0 ||
 			slices.Contains(tried, candidate.state) {
 			continue
 		}
--- a/internal/query/fake_test.go
+++ b/internal/query/fake_test.go
@@ -37,6 +37,8 @@
 	latency  func(server fleet.ServerID, draw uint64) time.Duration
 	outage   *verdict.Error
 	lastPart map[string]Part
+	cold     map[fleet.ServerID]bool
+	toCold   int
 }
 
 func newFakeSender(seed uint64) *fakeSender {
@@ -76,6 +78,9 @@
 		if f.excluded[part.Server] {
 			f.breach("part of %s sent to %s, which is out or leaving", part.Query, part.Server)
 		}
+		if f.cold[part.Server] {
+			f.toCold++
+		}
 		if part.Hedge && !part.Idempotent {
 			f.breach("hedge of a part of %s that is not idempotent", part.Query)
 		}
@@ -97,7 +102,7 @@
 		fault -= share
 		return fault < 0 && fault >= -share
 	}
-	result := Result{Attempt: part.Attempt, Shard: part.Shard, Server: part.Server, Version: part.Version, Warm: true}
+	result := Result{Attempt: part.Attempt, Shard: part.Shard, Server: part.Server, Version: part.Version, Warm: !f.cold[part.Server]}
 	took := time.Millisecond + time.Duration(draw.below(9_000_000))
 	if f.latency != nil {
 		took = f.latency(part.Server, draw.next())
--- a/internal/query/handle.go
+++ b/internal/query/handle.go
@@ -105,7 +105,8 @@
 	if q.partDeadline.Sub(now) < leastTime {
 		return false
 	}
-	free := failedBeforeServer(err) || err.Reason == verdict.VersionNotHeld
+	free := failedBeforeServer(err) || err.Reason == verdict.VersionNotHeld ||
+		err.Reason == verdict.Cold && err.Verdict == verdict.NotRun
 	if failedBeforeServer(err) && shard.reroutes < mostReroutes {
 		if owner, ok := q.engine.router.Route(ended.to.id); ok && owner != ended.owner {
 			shard.reroutes++
--- a/internal/query/outage_test.go
+++ b/internal/query/outage_test.go
@@ -115,6 +115,28 @@
 	})
 }
 
+// Guards against a cold replica that stays cold because no part is ever sent to it, and against one
+// that gets a full share while the other is warm.
+func TestColdReplicaGetsATrickle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fake := newFakeSender(5)
+		w := newWorld(1, interactive(1))
+		fake.hold(w.ids(), 1)
+		fake.cold = map[fleet.ServerID]bool{w.servers[0].ID: true}
+		engine := New("zone-a", fake, oneOwner{}, snapshot.NewHoldings(), 5)
+		engine.Update(w.view(), w.catalogue(), w.index(w.shardMap(1, 1)))
+		for i := range 1000 {
+			is.True(ask(engine, i, 100*time.Millisecond).refusal == nil)
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		t.Logf("%d of 1000 parts in %v", fake.toCold, 1000*10*time.Millisecond)
+		is.True(fake.toCold >= 10)
+		is.True(fake.toCold <= 100)
+	})
+}
+
 // Guards against a lost replica that costs coverage or keeps drawing hedges: the other one takes over.
 func TestLostReplica(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/query/stats.go
+++ b/internal/query/stats.go
@@ -19,6 +19,10 @@
 	// forgetting is the half-life of what is known about a replica's latency without a sample, so that a
 	// replica that was slow once is tried again. A trial of a straggler costs one hedge.
 	forgetting = 5 * time.Second
+	// coldForgetting halves the penalty of a replica that is not warm. Without it a replica would never
+	// get the requests that its ramp needs while another is warm; with it one gets about three a second
+	// from each coordinator.
+	coldForgetting = 50 * time.Millisecond
 	// Penalties of the choice between replicas, in time. Crossing zones costs 1 ms each way.
 	otherZonePenalty = 2 * time.Millisecond
 	unknownPenalty   = 5 * time.Millisecond
@@ -37,7 +41,7 @@
 	failures     atomic.Int64
 	avoidUntil   atomic.Int64
 	leavingUntil atomic.Int64
-	cold         atomic.Bool
+	coldSince    atomic.Int64 // time at which the owner last said so, Unix nanoseconds; 0 if warm
 }
 
 // account takes a result that matched an attempt sent at the given time.
@@ -46,8 +50,18 @@
 	if result.Leaving {
 		s.leavingUntil.Store(now.Add(leavingMemory).UnixNano())
 	}
-	s.cold.Store(!result.Warm)
+	if result.Err != nil && failedBeforeServer(result.Err) {
+		// The owner did not speak. The replica is not at fault; it is avoided briefly while the owner
+		// changes.
+		s.avoidUntil.Store(now.Add(avoidFirst).UnixNano())
+		return
+	}
 	s.wait.Store(int64(result.Wait))
+	if result.Warm {
+		s.coldSince.Store(0)
+	} else {
+		s.coldSince.Store(now.UnixNano())
+	}
 	if result.Err == nil {
 		s.failures.Store(0)
 		s.avoidUntil.Store(0)
@@ -55,15 +69,10 @@
 		return
 	}
 	switch result.Err.Reason {
-	case verdict.Cancelled, verdict.HedgeRefused:
+	case verdict.Cancelled, verdict.HedgeRefused, verdict.Cold:
 	case verdict.VersionNotHeld:
 		s.holding.Withdraw(result.Version, sent)
 	default:
-		if failedBeforeServer(result.Err) {
-			// The replica is not at fault; it is avoided briefly while its owner changes.
-			s.avoidUntil.Store(now.Add(avoidFirst).UnixNano())
-			return
-		}
 		count := min(s.failures.Add(1), 6)
 		s.avoidUntil.Store(now.Add(min(avoidFirst<<(count-1), avoidLongest)).UnixNano())
 	}
@@ -102,8 +111,8 @@
 	if !local {
 		total += int64(otherZonePenalty)
 	}
-	if s.cold.Load() {
-		total += int64(notWarmPenalty)
+	if since := s.coldSince.Load(); since != 0 {
+		total += int64(notWarmPenalty) >> min(max(now.UnixNano()-since, 0)/int64(coldForgetting), 40)
 	}
 	if s.avoidUntil.Load() > now.UnixNano() {
 		total += int64(avoidPenalty)
--- a/internal/query/tail_bench_test.go
+++ b/internal/query/tail_bench_test.go
@@ -55,7 +55,7 @@
 	for _, part := range parts {
 		result := Result{Attempt: part.Attempt, Shard: part.Shard, Server: part.Server, Version: part.Version, Warm: true}
 		if part.Hedge {
-			// The owner admits hedges to a free slot only, up to 5% of the server's requests.
+			// As the owner does: a free slot, and one hedge for 22 requests, of which two are kept.
 			if s.accepted[part.Server] < 1 || len(s.slots[part.Server]) == tailSlots {
 				result.Err = verdict.New(verdict.NotRun, verdict.HedgeRefused, "budget")
 				deliver(result)
@@ -63,7 +63,7 @@
 			}
 			s.accepted[part.Server]--
 		} else {
-			s.accepted[part.Server] = min(s.accepted[part.Server]+0.05, 0.05*60/tailGap.Seconds())
+			s.accepted[part.Server] = min(s.accepted[part.Server]+1.0/22, 2)
 		}
 		s.sends++
 		took := 5*time.Millisecond + time.Duration(s.draw.ExpFloat64()*5e6)
