Keep the first two attempts of a part in its state

Cause: each part took two allocations for its lists of attempts and tried replicas. Ruled out: a pool of states, because late results could then meet a reused one. Change: room for two attempts in the state of a shard.

--- a/internal/query/compose.go
+++ b/internal/query/compose.go
@@ -157,12 +157,10 @@
 // may have run.
 func (q *query) withdrawUnsent() {
 	for _, item := range q.outbox {
-		shard := &q.shards[q.byAttempt[item.part.Attempt]]
-		for i := range shard.attempts {
-			if unsent := &shard.attempts[i]; unsent.id == item.part.Attempt && unsent.live {
-				unsent.live = false
-				unsent.to.state.inFlight.Add(-1)
-			}
+		unsent := q.shards[q.byAttempt[item.part.Attempt]].attempt(item.part.Attempt)
+		if unsent.live {
+			unsent.live = false
+			unsent.to.state.inFlight.Add(-1)
 		}
 	}
 	q.outbox = q.outbox[:0]
--- a/internal/query/handle.go
+++ b/internal/query/handle.go
@@ -15,8 +15,7 @@
 		return
 	}
 	shard := &q.shards[index]
-	at := slices.IndexFunc(shard.attempts, func(a attempt) bool { return a.id == result.Attempt })
-	ended := &shard.attempts[at]
+	ended := shard.attempt(result.Attempt)
 	if result.Shard != shard.shard || result.Version != q.version || result.Server != ended.to.id {
 		q.engine.counters.Mismatched.Add(1)
 		return
@@ -42,6 +41,16 @@
 	q.lose(index, ended, result.Err, now)
 }
 
+// attempt returns the attempt of an id that byAttempt has.
+func (s *shardRun) attempt(id uint64) *attempt {
+	for i := range s.attempts {
+		if s.attempts[i].id == id {
+			return &s.attempts[i]
+		}
+	}
+	return nil
+}
+
 func (q *query) succeed(shard *shardRun, ended *attempt, result *Result, now time.Time) {
 	q.observe(shard, now.Sub(ended.sent))
 	if ended.hedge {
@@ -82,7 +91,7 @@
 	} else {
 		shard.reason, shard.after = err.Reason, err.RetryAfter
 	}
-	if slices.ContainsFunc(shard.attempts, func(a attempt) bool { return a.live }) {
+	if shard.inFlight() {
 		return
 	}
 	if q.retry(index, ended, err, now) {
@@ -174,7 +183,12 @@
 
 // untouched tells whether no part that has ended can have run.
 func (q *query) untouched() bool {
-	return !slices.ContainsFunc(q.shards, func(s shardRun) bool { return s.verdict != verdict.NotRun })
+	for i := range q.shards {
+		if q.shards[i].verdict != verdict.NotRun {
+			return false
+		}
+	}
+	return true
 }
 
 func (q *query) anyLive() bool {
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -72,6 +72,9 @@
 	verdict verdict.Verdict
 	reason  verdict.Reason
 	after   time.Duration
+	// Most shards have one or two attempts; room for them here spares allocations.
+	triedRoom   [2]*replicaState
+	attemptRoom [2]attempt
 }
 
 type attempt struct {
@@ -232,6 +235,9 @@
 	shard := &q.shards[index]
 	id := q.engine.attempts.Add(1)
 	q.byAttempt[id] = index
+	if shard.attempts == nil {
+		shard.tried, shard.attempts = shard.triedRoom[:0], shard.attemptRoom[:0]
+	}
 	shard.tried = append(shard.tried, to.state)
 	shard.attempts = append(shard.attempts, attempt{id: id, owner: owner, to: to, sent: now, live: true, hedge: hedge})
 	to.state.inFlight.Add(1)
