Share load between similar replicas and keep refused hedges for stragglers

Cause: a replica had to be only a little better to get all the parts, so the other earned no hedges at its owner; and after a refusal the engine asked again for parts just above the percentile. Change: a replica has to be better by a fourth; a known latency gets no zone penalty, because it has the crossing in it; for a minute after a refused hedge the engine waits for twice the percentile. The tail benchmark also has stragglers that move every 2 s.

--- a/internal/query/choose.go
+++ b/internal/query/choose.go
@@ -41,7 +41,9 @@
 		return first
 	}
 	typical := s.stats.typical.Load()
-	if second.score(typical, secondBelief, now) < first.score(typical, firstBelief, now) {
+	// Replicas that are about as good share the load, so that each earns hedges at its owner for the
+	// time when the other is slow.
+	if better, worse := second.score(typical, secondBelief, now), first.score(typical, firstBelief, now); better+better/similarShare < worse {
 		return second
 	}
 	return first
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -315,7 +315,7 @@
 			continue
 		}
 		at := shard.hedgeAt
-		if later := shard.sent.Add(2 * q.hedgeDelay(shard, now)); later.After(at) && shard.service.stats.hedges.scarce() {
+		if later := shard.sent.Add(2 * q.hedgeDelay(shard, now)); later.After(at) && shard.service.stats.hedgesScarce(now) {
 			at = later
 		}
 		if now.Before(at) {
--- a/internal/query/stats.go
+++ b/internal/query/stats.go
@@ -23,6 +23,8 @@
 	// get the requests that its ramp needs while another is warm; with it one gets about three a second
 	// from each coordinator.
 	coldForgetting = 50 * time.Millisecond
+	// similarShare is the part of a score, one fourth, by which a replica has to be better.
+	similarShare = 4
 	// Penalties of the choice between replicas, in time. Crossing zones costs 1 ms each way.
 	otherZonePenalty = 2 * time.Millisecond
 	unknownPenalty   = 5 * time.Millisecond
@@ -106,11 +108,11 @@
 		age := max(now.UnixNano()-s.sampled.Load(), 0)
 		latency += (known - typical) >> min(age/int64(forgetting), 40)
 		wait = max(s.wait.Load()-age, 0)
+	} else if !local {
+		// A known latency has the time between zones in it.
+		latency += int64(otherZonePenalty)
 	}
 	total := latency*(1+s.inFlight.Load()) + wait
-	if !local {
-		total += int64(otherZonePenalty)
-	}
 	if since := s.coldSince.Load(); since != 0 {
 		total += int64(notWarmPenalty) >> min(max(now.UnixNano()-since, 0)/int64(coldForgetting), 40)
 	}
@@ -133,6 +135,9 @@
 	// quantileStep is the relative step of the percentile estimator. It moves up by 0.95 and down by
 	// 0.05 of the step, which balance where 5% of the samples are above.
 	quantileStep = 0.1
+	// refusedMemory is how long hedges are kept for stragglers after an owner refused one. Owners count
+	// hedges over a minute; parts just above the percentile alone would use up what they allow.
+	refusedMemory = time.Minute
 	// Budgets in thousandths of an attempt: 10% retries and 5% hedges of first attempts, each
 	// with a small burst so that a service with few queries can use them at all.
 	retryEarn   = 100
@@ -147,6 +152,7 @@
 	samples    atomic.Int64
 	retries    budget
 	hedges     budget
+	refused    atomic.Int64 // time at which an owner last refused a hedge, Unix nanoseconds
 }
 
 func newServiceStats() *serviceStats {
@@ -184,6 +190,12 @@
 	return max(time.Duration(s.percentile.Load()), leastHedgeDelay)
 }
 
+// hedgesScarce tells whether hedges are to be kept for stragglers: more than half of the burst is used, or
+// an owner refused one lately.
+func (s *serviceStats) hedgesScarce(now time.Time) bool {
+	return s.hedges.left.Load() < budgetBurst/2 || now.UnixNano()-s.refused.Load() < int64(refusedMemory)
+}
+
 // budget is a token bucket that first attempts fill.
 type budget struct {
 	left atomic.Int64
@@ -195,9 +207,6 @@
 	}
 }
 
-// scarce tells whether more than half of the burst is used.
-func (b *budget) scarce() bool { return b.left.Load() < budgetBurst/2 }
-
 func (b *budget) take() bool {
 	for {
 		left := b.left.Load()
--- a/internal/query/tail_bench_test.go
+++ b/internal/query/tail_bench_test.go
@@ -30,21 +30,23 @@
 	mu       sync.Mutex
 	draw     *rand.Rand
 	slots    map[fleet.ServerID]chan struct{}
-	slow     map[fleet.ServerID]bool
+	index    map[fleet.ServerID]int
+	every    int
+	moving   bool
 	cancels  map[uint64]context.CancelFunc
 	sends    int
 	accepted map[fleet.ServerID]float64 // hedge allowance of the owner
 }
 
-func newTailServers(w world, every int) *tailServers {
+func newTailServers(w world, every int, moving bool) *tailServers {
 	s := &tailServers{
 		draw: rand.New(rand.NewPCG(1, 2)), slots: make(map[fleet.ServerID]chan struct{}),
-		slow: make(map[fleet.ServerID]bool), cancels: make(map[uint64]context.CancelFunc),
+		index: make(map[fleet.ServerID]int), every: every, moving: moving, cancels: make(map[uint64]context.CancelFunc),
 		accepted: make(map[fleet.ServerID]float64),
 	}
 	for i, server := range w.servers {
 		s.slots[server.ID] = make(chan struct{}, tailSlots)
-		s.slow[server.ID] = every > 0 && i%every == every/2
+		s.index[server.ID] = i
 	}
 	return s
 }
@@ -67,7 +69,7 @@
 		}
 		s.sends++
 		took := 5*time.Millisecond + time.Duration(s.draw.ExpFloat64()*5e6)
-		if s.slow[part.Server] {
+		if s.isSlow(part.Server) {
 			took *= tailSlower
 		}
 		one, cancel := context.WithCancel(ctx)
@@ -76,6 +78,18 @@
 	}
 }
 
+// isSlow tells whether the server is one of the slow ones; where they move, another set is every 2 s.
+func (s *tailServers) isSlow(server fleet.ServerID) bool {
+	if s.every == 0 {
+		return false
+	}
+	turn := 0
+	if s.moving {
+		turn = int(time.Now().Unix()/2) * 7
+	}
+	return (s.index[server]+turn)%s.every == s.every/2
+}
+
 func (s *tailServers) serve(ctx context.Context, result Result, took time.Duration, deliver func(Result)) {
 	slots := s.slots[result.Server]
 	result.Err = verdict.New(verdict.MayHaveRun, verdict.Cancelled, "cancelled")
@@ -140,14 +154,14 @@
 
 // tail plays queries at a fixed rate on fake time and returns the 99th percentile of their latency and the
 // sends over the parts.
-func tail(fanOut, every int, plain bool) (p99 time.Duration, load float64) {
+func tail(fanOut, every int, moving, plain bool) (p99 time.Duration, load float64) {
 	body := func(t *testing.T) {
 		w := newWorld(fanOut, catalogue.Service{Idempotent: true, Deadline: 10 * time.Second, CoverageFloor: 1})
 		m := snapshot.ShardMap{Version: 1, Shards: make(map[snapshot.ShardID]fleet.ServiceID)}
 		for i := range fanOut {
 			m.Shards[snapshot.ShardID(fmt.Sprintf("shard-%03d", i))] = serviceName(i)
 		}
-		servers := newTailServers(w, every)
+		servers := newTailServers(w, every, moving)
 		engine := New("zone-a", servers, oneOwner{}, snapshot.NewHoldings(), 1)
 		engine.Update(w.view(), w.catalogue(), w.index(m))
 		baseline := &plainCoordinator{w: w, sender: servers, shards: fanOut}
@@ -184,24 +198,26 @@
 }
 
 // BenchmarkTail compares the engine with the plain baseline on the same servers, with and without one
-// replica in forty that is 20 times slower.
+// replica in forty that is 20 times slower: always the same, or another every 2 s.
 func BenchmarkTail(b *testing.B) {
 	for _, fanOut := range []int{20, 170} {
-		b.Run(fmt.Sprintf("fan-out=%d", fanOut), func(b *testing.B) {
-			for range b.N {
-				calm, _ := tail(fanOut, 0, false)
-				plainCalm, _ := tail(fanOut, 0, true)
-				straggler, load := tail(fanOut, 40, false)
-				plain, _ := tail(fanOut, 40, true)
-				millis := func(d time.Duration) float64 { return d.Seconds() * 1000 }
-				b.ReportMetric(millis(calm), "p99-calm-ms")
-				b.ReportMetric(millis(plainCalm), "p99-plain-calm-ms")
-				b.ReportMetric(millis(straggler), "p99-straggler-ms")
-				b.ReportMetric(millis(plain), "p99-plain-straggler-ms")
-				b.ReportMetric(millis(plain)/millis(straggler), "times-lower")
-				b.ReportMetric(millis(straggler)/millis(calm), "times-calm")
-				b.ReportMetric(100*(load-1), "%extra-load")
-			}
-		})
+		for _, moving := range []bool{false, true} {
+			b.Run(fmt.Sprintf("fan-out=%d/moving=%v", fanOut, moving), func(b *testing.B) {
+				for range b.N {
+					calm, _ := tail(fanOut, 0, moving, false)
+					plainCalm, _ := tail(fanOut, 0, moving, true)
+					straggler, load := tail(fanOut, 40, moving, false)
+					plain, _ := tail(fanOut, 40, moving, true)
+					millis := func(d time.Duration) float64 { return d.Seconds() * 1000 }
+					b.ReportMetric(millis(calm), "p99-calm-ms")
+					b.ReportMetric(millis(plainCalm), "p99-plain-calm-ms")
+					b.ReportMetric(millis(straggler), "p99-straggler-ms")
+					b.ReportMetric(millis(plain), "p99-plain-straggler-ms")
+					b.ReportMetric(millis(plain)/millis(straggler), "times-lower")
+					b.ReportMetric(millis(straggler)/millis(calm), "times-calm")
+					b.ReportMetric(100*(load-1), "%extra-load")
+				}
+			})
+		}
 	}
 }
