--- a/internal/query/fake_test.go
+++ b/internal/query/fake_test.go
@@ -129,6 +129,11 @@
 		return
 	}
 	time.Sleep(took / 2)
+	f.answer(part, result, draw, hit, deliver)
+}
+
+// answer delivers the result of a part that ran, with the fault that was drawn.
+func (f *fakeSender) answer(part Part, result Result, draw *random, hit func(int) bool, deliver func(Result)) {
 	switch {
 	case hit(f.faults.Lost), f.isLost(part.Server):
 		// The draw keeps several of these from ending at the same instant, whose order is not defined.
@@ -225,6 +230,15 @@
 	}
 }
 
+// exclude makes every later part to the zone a breach.
+func (f *fakeSender) exclude(w world, zone fleet.ZoneID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, server := range w.servers {
+		f.excluded[server.ID] = server.Zone == zone
+	}
+}
+
 // world is a fleet with one application: services of two replicas in two zones.
 type world struct {
 	servers []fleet.Server
--- a/internal/query/history_test.go
+++ b/internal/query/history_test.go
@@ -117,11 +117,7 @@
 		})
 		at(s.OutAt, func() {
 			update(func() { entries = entries.WithZoneOut("zone-b", true) })
-			h.fake.mu.Lock()
-			for _, server := range w.servers {
-				h.fake.excluded[server.ID] = server.Zone == "zone-b"
-			}
-			h.fake.mu.Unlock()
+			h.fake.exclude(w, "zone-b")
 		})
 		for i := range s.Queries {
 			all.Go(func() {
@@ -132,15 +128,20 @@
 		all.Wait()
 		time.Sleep(time.Second) // late results and late runs
 		synctest.Wait()
-		for server, state := range engine.replicas {
-			if left := state.inFlight.Load(); left != 0 {
-				h.fake.breach("%s has %d parts in flight at the end", server, left)
-			}
-		}
+		h.checkInFlight(engine)
 	})
 	return h
 }
 
+// checkInFlight notes replicas that keep parts in flight after every query has ended.
+func (h *history) checkInFlight(engine *Engine) {
+	for server, state := range engine.replicas {
+		if left := state.inFlight.Load(); left != 0 {
+			h.fake.breach("%s has %d parts in flight at the end", server, left)
+		}
+	}
+}
+
 func (h *history) query(engine *Engine, i int) {
 	id := fmt.Sprintf("q%d", i)
 	request := Request{
