--- a/internal/command/cases_test.go
+++ b/internal/command/cases_test.go
@@ -17,8 +17,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
+	"github.com/medlarlatch/medlarlatch/internal/httpapi"
 	"github.com/medlarlatch/medlarlatch/internal/platform"
 	"github.com/medlarlatch/medlarlatch/internal/standin/inprocess"
 	"github.com/medlarlatch/medlarlatch/internal/standin/instances"
@@ -36,6 +36,8 @@
 	files map[string]string
 	// stuck holds the entry instances that stay at revision 1.
 	stuck map[string]bool
+	// silent is an entry instance whose report lacks the configuration.
+	silent string
 }
 
 // RoundTrip implements http.RoundTripper by the host of the URL.
@@ -68,14 +70,13 @@
 			reply.WriteHeader(http.StatusUnauthorized)
 			return
 		}
-		entry := s.store.Entry(configuration.Key)
-		parsed, _ := catalogue.Parse("store", entry.Value)
-		report := map[string]any{"instance": id, "zone": zone, "ready": true, "revision": entry.Revision, "revision-since": "2000-01-01T00:00:00Z", "write-id": "", "extra": 1}
-		if ids := parsed.WriteIDs(); len(ids) > 0 {
-			report["write-id"] = ids[0]
-		}
+		revision := s.store.Entry(configuration.Key).Revision
 		if s.stuck[id] {
-			report["revision"], report["write-id"] = 1, "first"
+			revision = 1
+		}
+		report := map[string]any{"instance": id, "zone": zone, "ready": true, "extra": 1}
+		if id != s.silent {
+			report["configuration"] = map[string]any{"revision": revision, "since": "2000-01-01T00:00:00Z", "origin": "store"}
 		}
 		_ = json.NewEncoder(reply).Encode(report)
 	}
@@ -140,7 +141,7 @@
 	return all
 }
 
-// prepare runs a line that changes the stage: "store FAULTS", "list FAULTS", "stuck INSTANCE",
+// prepare runs a line that changes the stage: "store FAULTS", "list FAULTS", "stuck INSTANCE", "silent INSTANCE",
 // "put DOCUMENT", "write FILE TEXT" with \n for line ends, or "replace FILE OLD => NEW".
 func (s *stage) prepare(line string) {
 	verb, rest, _ := strings.Cut(line, " ")
@@ -155,6 +156,8 @@
 		s.list.SetFaults(faults)
 	case "stuck":
 		s.stuck[rest] = true
+	case "silent":
+		s.silent = rest
 	case "put":
 		s.store.Put(configuration.Key, rest)
 	case "write":
@@ -224,6 +227,9 @@
 		s.hosts["127.0.0.1:7010"], s.hosts["127.0.0.1:7011"] = s.store, s.list
 		s.hosts["127.0.0.1:7100"] = http.HandlerFunc(answerQuery)
 		for _, v := range verbs() {
+			if v.name == "serve" {
+				continue // it runs until it is stopped; TestExamples of settings reads its file
+			}
 			output := s.run(strings.TrimPrefix(v.example, "medlarlatch "))
 			if strings.Contains(output, "exit code 2") || strings.Contains(output, "exit code 3") {
 				t.Errorf("%s\n%s", v.example, output)
@@ -232,6 +238,21 @@
 	})
 }
 
+// TestReport guards against a status report of the HTTP shell in another shape than the verbs read.
+func TestReport(t *testing.T) {
+	is := is.New(t)
+	text, err := json.Marshal(httpapi.Status{
+		Instance: "entry-1", Zone: "zone-a", Ready: true,
+		Configuration: httpapi.ConfigurationStatus{Revision: 5, Origin: "peer"},
+	})
+	is.NoErr(err)
+	var r report
+	is.NoErr(json.Unmarshal(text, &r))
+	is.True(r.confirms(5) && !r.confirms(6) && r.Ready)
+	is.Equal(r.Configuration.Origin, "peer")
+	is.Equal(string(r.Instance)+" "+string(r.Zone), "entry-1 zone-a")
+}
+
 // TestExitCodes guards against a code without a meaning or with two.
 func TestExitCodes(t *testing.T) {
 	is := is.New(t)
--- a/internal/query/choose.go
+++ b/internal/query/choose.go
@@ -41,7 +41,9 @@
 		return first
 	}
 	typical := s.stats.typical.Load()
-	if second.score(typical, secondBelief, now) < first.score(typical, firstBelief, now) {
+	// Replicas that are about as good share the load, so that each earns hedges at its owner for the
+	// time when the other is slow.
+	if better, worse := second.score(typical, secondBelief, now), first.score(typical, firstBelief, now); better+better/similarShare < worse {
 		return second
 	}
 	return first
@@ -58,7 +60,7 @@
 func (s *service) scan(start int, version snapshot.Version, tried []*replicaState, hedge bool, now time.Time, except *replica) (*replica, snapshot.Belief) {
 	for i := range s.replicas {
 		candidate := &s.replicas[(start+i)%len(s.replicas)]
-		if candidate == except || candidate.state.leaving(now) || hedge && candidate.state.cold.Load() ||
+		if candidate == except || candidate.state.leaving(now) || hedge && candidate.state.coldSince.Load() != 0 ||
 			slices.Contains(tried, candidate.state) {
 			continue
 		}
