Choose the watchers without sorting the fleet

Cause: each instance makes the plan of watchers twice a second, and twenty times in its first second. It sorted all entry instances and every zone: 6.9 ms at 5,200 (configuration BenchmarkPlan, median of three, busy machine), 1.4% of a core against 2.4% for all control.

Ruled out: keeping the plan between rounds; it depends on reachability, which is replaced with every heartbeat.

Change: the first two of each zone are found in one pass, and live is asked only of those.

--- a/internal/configuration/plan.go
+++ b/internal/configuration/plan.go
@@ -25,41 +25,61 @@
 }
 
 // NewPlan returns the plan of the instance self. live tells whether an entry instance counts; leaving
-// and unreachable ones should not. The instance itself always counts.
+// and unreachable ones should not. The instance itself always counts. It is called in every round, so that only
+// the instances of the own zone are listed, and only for a watcher.
 func NewPlan(view *fleet.View, self fleet.Entry, live func(fleet.Entry) bool) Plan {
-	zones := map[fleet.ZoneID][]fleet.InstanceID{self.Zone: {self.ID}}
-	for _, entry := range view.Entries() {
-		if entry.ID != self.ID && live(entry) {
-			zones[entry.Zone] = append(zones[entry.Zone], entry.ID)
-		}
-	}
 	var plan Plan
-	for zone, members := range zones {
-		rankByRendezvous(zone, members)
-		watchers := members[:min(len(members), WatchersPerZone)]
+	for _, zone := range view.Zones() {
 		if zone != self.Zone {
-			plan.Far = append(plan.Far, watchers...)
-			continue
-		}
-		plan.Watch = slices.Contains(watchers, self.ID)
-		plan.Near = without(watchers, self.ID)
-		if plan.Watch {
-			plan.Audience = without(members, self.ID)
+			plan.Far = append(plan.Far, watchersOf(view, zone, self, live)...)
 		}
 	}
 	slices.Sort(plan.Far)
+	watchers := watchersOf(view, self.Zone, self, live)
+	plan.Watch = slices.Contains(watchers, self.ID)
+	plan.Near = without(watchers, self.ID)
 	if plan.Watch {
+		for _, id := range view.EntriesOf(self.Zone) {
+			if entry, ok := view.Entry(id); ok && id != self.ID && live(entry) {
+				plan.Audience = append(plan.Audience, id)
+			}
+		}
 		// Watchers of a zone that is cut off from the store only are told by those of the other zones.
 		plan.Audience = append(plan.Audience, plan.Far...)
 	}
 	return plan
 }
 
-func rankByRendezvous(zone fleet.ZoneID, members []fleet.InstanceID) {
-	weight := func(id fleet.InstanceID) uint64 { return xxhash.Sum64String(string(zone) + "/" + string(id)) }
-	slices.SortFunc(members, func(a, b fleet.InstanceID) int {
-		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a, b))
-	})
+// watchersOf returns the first WatchersPerZone live entry instances of a zone by rendezvous order.
+func watchersOf(view *fleet.View, zone fleet.ZoneID, self fleet.Entry, live func(fleet.Entry) bool) []fleet.InstanceID {
+	watchers := make([]fleet.InstanceID, 0, WatchersPerZone+1)
+	weights := make([]uint64, 0, WatchersPerZone+1)
+	name := append(make([]byte, 0, 128), zone...)
+	name = append(name, '/')
+	offer := func(id fleet.InstanceID) {
+		weight := xxhash.Sum64(append(name, id...))
+		at := len(watchers)
+		for at > 0 && cmp.Or(cmp.Compare(weights[at-1], weight), cmp.Compare(id, watchers[at-1])) < 0 {
+			at--
+		}
+		if at == WatchersPerZone {
+			return
+		}
+		if entry, _ := view.Entry(id); id != self.ID && !live(entry) {
+			return
+		}
+		watchers, weights = slices.Insert(watchers, at, id), slices.Insert(weights, at, weight)
+		watchers, weights = watchers[:min(len(watchers), WatchersPerZone)], weights[:min(len(weights), WatchersPerZone)]
+	}
+	if zone == self.Zone {
+		offer(self.ID)
+	}
+	for _, id := range view.EntriesOf(zone) {
+		if id != self.ID {
+			offer(id)
+		}
+	}
+	return watchers
 }
 
 func without(members []fleet.InstanceID, id fleet.InstanceID) []fleet.InstanceID {
