Read the instance list once in each interval

Cause: each read of the list was tried three times, so that an outage of the list trebled the calls of the fleet: 15,600/s at 5,200 daemons against about 2,000 that the platform gives.

Ruled out: one attempt for everybody; the commands of operators read the list once and keep their three attempts.

Change: Poll makes one attempt, and the daemon, which reads again after a second, uses it. Figures: calls of one read in an outage, 3 before, 1 after (TestUnchangedList).

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -205,7 +205,7 @@
 	defer ticker.Stop()
 	working := true
 	for {
-		entries, servers, err := i.list.List(ctx)
+		entries, servers, err := i.list.Poll(ctx)
 		if err == nil {
 			i.members.apply(func(m *fleet.Membership, now time.Time) fleet.Change { return m.Listed(now, entries, servers) })
 			i.listed.Store(true)
--- a/internal/platform/instances.go
+++ b/internal/platform/instances.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/medlarlatch/medlarlatch/internal/document"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
@@ -58,10 +59,22 @@
 
 // List returns the listed entry instances and backend servers, which the caller does not change. Any line that
 // cannot be used makes the whole list unusable: half a list would look like a fleet that lost instances. One
-// goroutine at a time calls it.
+// goroutine at a time calls it or Poll.
 func (i *Instances) List(ctx context.Context) ([]fleet.Entry, []fleet.Server, error) {
+	return i.list(ctx, i.read)
+}
+
+// Poll is List with a single attempt, for callers that read at intervals: with three, a fleet of daemons would
+// make three times the calls during an outage of the list.
+func (i *Instances) Poll(ctx context.Context) ([]fleet.Entry, []fleet.Server, error) {
+	return i.list(ctx, i.once)
+}
+
+type reader func(ctx context.Context, kind, path string, timeout time.Duration, into any) (int, error)
+
+func (i *Instances) list(ctx context.Context, read reader) ([]fleet.Entry, []fleet.Server, error) {
 	var list InstanceList
-	status, err := i.read(ctx, "instances", "/v1/instances", i.options.Timeout, &list)
+	status, err := read(ctx, "instances", "/v1/instances", i.options.Timeout, &list)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/platform/tagged_test.go
+++ b/internal/platform/tagged_test.go
@@ -33,8 +33,10 @@
 	is.True(leaving())
 	is.Equal(list.Calls()["unchanged"], uint64(1))
 	list.SetFaults(instances.Faults{Down: true})
-	_, _, err := adapter.List(t.Context())
-	is.True(err != nil) // the list that is kept does not hide an outage
+	calls := list.Calls()["instances"]
+	_, _, err := adapter.Poll(t.Context())
+	is.True(err != nil)                          // the list that is kept does not hide an outage
+	is.Equal(list.Calls()["instances"], calls+1) // and an outage makes no more calls
 	list.SetFaults(instances.Faults{})
 	is.True(leaving())
 }
