--- a/internal/platform/capacity_bench_test.go
+++ b/internal/platform/capacity_bench_test.go
@@ -50,6 +50,9 @@
 		reply.Header().Set("ETag", tag)
 		_, _ = reply.Write(body)
 	}))))
+	if _, _, err := adapter.List(context.Background()); err != nil { // the tag of the next requests
+		b.Fatal(err)
+	}
 	b.ReportAllocs()
 	for b.Loop() {
 		if _, _, err := adapter.List(context.Background()); err != nil {
--- a/internal/share/capacity_bench_test.go
+++ b/internal/share/capacity_bench_test.go
@@ -51,3 +51,34 @@
 		}
 	}
 }
+
+// BenchmarkClaimed measures the list of the own servers, which is made each second and after every change.
+func BenchmarkClaimed(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size[0]), func(b *testing.B) {
+			view, _, entries := largeFleet(size[0], size[1])
+			table := NewTable(reachOf(view, entries[0]), simLimits)
+			b.ReportAllocs()
+			claimed := 0
+			for b.Loop() {
+				claimed = len(table.Claimed())
+			}
+			b.ReportMetric(float64(claimed), "claimed")
+		})
+	}
+}
+
+// BenchmarkZoneLost replaces the table when all entry instances of a zone go at once.
+func BenchmarkZoneLost(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size[0]), func(b *testing.B) {
+			view, _, entries := largeFleet(size[0], size[1])
+			table := NewTable(reachOf(view, entries[0]), simLimits)
+			gone := view.EntriesOf("zone-4")
+			without := view.With(nil, gone, nil, nil)
+			for b.Loop() {
+				table.With(reachOf(without, entries[0]), fleet.Change{Entries: gone}, simLimits)
+			}
+		})
+	}
+}
