Run the demo with medlarlatch serve, and count the extra load at the servers

The engine's counts of hedges include those that an owner refused, so they overstate what servers bear. The demo now prints how many more subrequests reached the servers than first attempts were made.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 
 # Both deployments on loopback with faults; ends by itself within 45 s and leaves no process behind.
 demo: build
-	bin/standin demo
+	bin/standin demo --serve bin/medlarlatch
 
 # New seeds for the generated tests, until SOAK has passed; prints each seed, so that a failure can be
 # repeated with MEDLARLATCH_SEED=N make test.
--- a/internal/standin/program/demo.go
+++ b/internal/standin/program/demo.go
@@ -227,10 +227,11 @@
 func millis(span time.Duration) float64 { return float64(span) / float64(time.Millisecond) }
 
 func (d *demo) printServers(report standin.Report, firsts, hedges, retries int64) {
-	var shed, fellOver, cancelled, over int64
+	var received, shed, fellOver, cancelled, over int64
 	peak := map[int]int{}
 	connections := 0
 	for id, seen := range report.Servers {
+		received += seen.Queries
 		shed += seen.Shed
 		fellOver += seen.FellOver
 		cancelled += seen.Cancelled
@@ -244,8 +245,8 @@
 			d.broken = append(d.broken, fmt.Sprintf("%s refused %d connections above its limit of %d", id, seen.Refused, seen.Limit))
 		}
 	}
-	fmt.Printf("  servers: %d first attempts, extra load %.2f%% hedges and %.2f%% retries; peak in flight", firsts,
-		percent(hedges, firsts), percent(retries, firsts))
+	fmt.Printf("  servers: %d first attempts, %.2f%% more reached them (%.2f%% hedges and %.2f%% retries asked for); peak in flight",
+		firsts, percent(received-firsts, firsts), percent(hedges, firsts), percent(retries, firsts))
 	for _, slots := range []int{2, 3, 4} {
 		fmt.Printf(" %d of %d", peak[slots], slots)
 	}
