--- a/internal/standin/program/bench_test.go
+++ b/internal/standin/program/bench_test.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+
 	used := func() (processor time.Duration, parts, resident int64) {
 		for n := range c.Entries {
 			usage, err := c.Usage(n)
