Record service-level objectives and what spends their budgets

Cause: GET /v1/burn answered 501; nothing counted the catalogue's objectives.

Ruled out: counting in internal/query, which would put the report on the engine's decision path; a query's context carries a trace instead, which sees the parts where they leave for their owners. A list of every spender, which grows with the shards; a space-saving list of 16 for each hour is bounded.

Proof: with a mechanism off (alert on one window of a pair, window bound, abandoned parts, bounds, excess, late start, version filter, blame), TestAlert, TestWindows, TestWhatSpendsBudget, TestMemoryIsBounded, TestTopSpenders, TestMergeStatesGaps or TestTrace fails.

Conclusion: the counts are exact for one process lifetime; a restart is a gap that reports state.

--- /dev/null
+++ b/internal/burn/burn_test.go
@@ -0,0 +1,276 @@
+package burn
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/medlarlatch/medlarlatch/internal/catalogue"
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+func entries(latency time.Duration, percent float64, services ...string) catalogue.Catalogue {
+	var all []catalogue.Service
+	for _, id := range services {
+		all = append(all, catalogue.Service{
+			ID: fleet.ServiceID(id), Application: "search", LatencyObjective: latency, ObjectivePercent: percent,
+		})
+	}
+	return catalogue.New(all)
+}
+
+func recorder(services ...string) *Recorder {
+	r := New("entry-1", "zone-a")
+	r.Update(entries(100*time.Millisecond, 99, services...))
+	return r
+}
+
+func good(service string) Part {
+	return Part{Service: service, Shard: "s-" + service, Server: service + "-a", Zone: "zone-a", Answered: true, Took: time.Millisecond}
+}
+
+func report(r *Recorder) map[Key]Line {
+	lines := make(map[Key]Line)
+	for _, line := range Merge(time.Now(), []Snapshot{r.Snapshot()}, nil).Objectives {
+		lines[line.Key] = line
+	}
+	return lines
+}
+
+// TestWhatSpendsBudget guards against a query that is counted for the wrong service, and against budget that is
+// spent by what is not the system's fault.
+func TestWhatSpendsBudget(t *testing.T) {
+	late := good("one")
+	late.Took = 101 * time.Millisecond
+	missing := Part{Service: "one", Shard: "s-one", Server: "one-a", Zone: "zone-b", Reason: verdict.Overloaded}
+	abandoned := Part{Service: "two", Shard: "s-two", Reason: verdict.Cancelled}
+	for name, c := range map[string]struct {
+		outcome         Outcome
+		whole, one, two [2]int64
+		spender         Spender
+	}{
+		"whole": {Outcome{Parts: []Part{good("one"), good("two")}}, [2]int64{1, 0}, [2]int64{1, 0}, [2]int64{1, 0}, Spender{}},
+		"late": {
+			Outcome{Took: 101 * time.Millisecond, Parts: []Part{late, good("two")}},
+			[2]int64{0, 1},
+			[2]int64{0, 1},
+			[2]int64{1, 0},
+			Spender{Shard: "s-one", Server: "one-a", Zone: "zone-a", Late: true, Count: 1},
+		},
+		"partial": {
+			Outcome{Parts: []Part{missing, good("two")}},
+			[2]int64{0, 1},
+			[2]int64{0, 1},
+			[2]int64{1, 0},
+			Spender{Shard: "s-one", Server: "one-a", Zone: "zone-b", Reason: verdict.Overloaded, Count: 1},
+		},
+		"refused below the floor": {
+			Outcome{Refused: verdict.CoverageBelowFloor, Parts: []Part{missing, abandoned}},
+			[2]int64{0, 1},
+			[2]int64{0, 1},
+			[2]int64{},
+			Spender{Shard: "s-one", Server: "one-a", Zone: "zone-b", Reason: verdict.Overloaded, Count: 1},
+		},
+		"refused before the split": {
+			Outcome{Refused: verdict.Overloaded, Zone: "zone-a"},
+			[2]int64{0, 1},
+			[2]int64{0, 1},
+			[2]int64{0, 1},
+			Spender{Zone: "zone-a", Reason: verdict.Overloaded, Count: 1},
+		},
+		"caller's fault": {Outcome{Refused: verdict.UnknownShard}, [2]int64{}, [2]int64{}, [2]int64{}, Spender{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is, r := is.New(t), recorder("one", "two")
+				c.outcome.Application = "search"
+				r.Record(c.outcome)
+				lines := report(r)
+				for service, want := range map[string][2]int64{"": c.whole, "one": c.one, "two": c.two} {
+					var got [2]int64
+					for _, b := range lines[Key{"search", service}].Buckets {
+						got[0] += b.Good
+						got[1] += b.Bad
+					}
+					is.Equal(got, want) // counts of the service
+				}
+				if c.spender.Count > 0 {
+					is.Equal(lines[Key{"search", ""}].Spenders, []Spender{c.spender})
+					is.Equal(lines[Key{"search", "one"}].Spenders, []Spender{c.spender})
+				}
+			})
+		})
+	}
+}
+
+// TestWindows guards against a burn rate over the wrong time: a loss of an hour ago must leave the short windows
+// and stay in the long ones, and a page needs both windows of a pair.
+func TestWindows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, r := is.New(t), recorder("one")
+		record := func(bad int) {
+			for n := range 100 {
+				o := Outcome{Application: "search", Parts: []Part{good("one")}}
+				if n < bad {
+					o.Parts[0] = Part{Service: "one", Shard: "s-one", Reason: verdict.NoReplica}
+				}
+				r.Record(o)
+			}
+		}
+		of := func() map[string]float64 {
+			rates := make(map[string]float64)
+			for _, rate := range report(r)[Key{"search", "one"}].Burn {
+				rates[rate.Window] = float64(int(rate.Burn*100+.5)) / 100
+			}
+			return rates
+		}
+		record(20)
+		is.Equal(of(), map[string]float64{"5m": 20, "30m": 20, "1h": 20, "6h": 20})
+		is.Equal(report(r)[Key{"search", "one"}].Alert, "page")
+		time.Sleep(10 * time.Minute)
+		record(0)
+		is.Equal(of(), map[string]float64{"5m": 0, "30m": 10, "1h": 10, "6h": 10})
+		is.Equal(report(r)[Key{"search", "one"}].Alert, "page") // the pair of 30 min and 6 h
+		time.Sleep(50 * time.Minute)
+		record(0)
+		is.Equal(of(), map[string]float64{"5m": 0, "30m": 0, "1h": 0, "6h": 6.67})
+		is.Equal(report(r)[Key{"search", "one"}].Alert, "ok")
+		time.Sleep(5*time.Hour + 30*time.Minute)
+		is.Equal(of(), map[string]float64{"5m": 0, "30m": 0, "1h": 0, "6h": 0})
+		is.Equal(len(report(r)[Key{"search", "one"}].Spenders), 1) // kept to the end of its hour
+		time.Sleep(30 * time.Minute)
+		is.Equal(len(report(r)[Key{"search", "one"}].Spenders), 0)
+	})
+}
+
+// TestMergeStatesGaps guards against a report that passes for complete: an instance that started later, one that
+// could not be asked, and two instances that disagree about the objective must show.
+func TestMergeStatesGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, first := is.New(t), recorder("one")
+		time.Sleep(7 * time.Hour)
+		second := New("entry-2", "zone-b")
+		second.Update(entries(50*time.Millisecond, 99.9, "one"))
+		for _, r := range []*Recorder{first, second} {
+			r.Record(Outcome{Application: "search", Parts: []Part{good("one")}})
+		}
+		now := time.Now()
+		is.True(Merge(now, []Snapshot{first.Snapshot()}, nil).Complete)
+		unasked := Gap{Instance: "entry-3", Zone: "zone-c", From: now.Add(-6 * time.Hour), To: now, Cause: "status 401"}
+		merged := Merge(now, []Snapshot{first.Snapshot(), second.Snapshot()}, []Gap{unasked})
+		is.True(!merged.Complete)
+		is.Equal(len(merged.Gaps), 2)
+		is.Equal(merged.Gaps[0].Instance, "entry-2")
+		is.Equal(merged.Gaps[0].To, now)
+		is.Equal(merged.Gaps[1], unasked)
+		line := merged.Objectives[1]
+		is.Equal(line.Key, Key{"search", "one"})
+		is.Equal(line.Buckets, []Bucket{{now.Unix() / 60, 2, 0}})
+		is.True(line.Differs)
+		is.Equal(line.Percent, 99.9)
+		is.Equal(line.LatencyMillis, 50.0)
+	})
+}
+
+// TestMemoryIsBounded guards against lists that grow with the number of shards or objectives, and against a bounded
+// list that loses the largest spender.
+func TestMemoryIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var services []string
+		for n := range maxSeries + 10 {
+			services = append(services, fmt.Sprintf("service-%04d", n))
+		}
+		r := recorder(services...)
+		for n := range 1000 {
+			shard := fmt.Sprintf("shard-%d", n)
+			if n%5 == 0 {
+				shard = "worst"
+			}
+			r.Record(Outcome{Application: "search", Parts: []Part{{Service: services[0], Shard: shard, Reason: verdict.NoReplica}}})
+		}
+		spenders := report(r)[Key{"search", services[0]}].Spenders
+		is.Equal(len(spenders), topSpenders)
+		is.Equal(spenders[0].Shard, "worst")
+		is.True(spenders[0].Count >= 200 && spenders[0].Count-spenders[0].Excess <= 200)
+		r.Record(Outcome{Application: "search", Refused: verdict.Overloaded})
+		snapshot := r.Snapshot()
+		is.Equal(len(snapshot.Series), maxSeries)
+		is.Equal(snapshot.Untracked, int64(11))
+		is.True(!Merge(time.Now(), []Snapshot{snapshot}, nil).Complete)
+	})
+}
+
+// TestAlert guards against a page for a short burst, and against one that goes on after the loss has ended.
+func TestAlert(t *testing.T) {
+	for name, c := range map[string]struct {
+		short, hour, half, long float64
+		want                    string
+	}{
+		"fast":             {15, 15, 0, 0, alertPage},
+		"burst":            {15, 14, 15, 5, alertOK},
+		"ended":            {0, 15, 5, 7, alertOK},
+		"slow":             {7, 7, 7, 7, alertPage},
+		"at the threshold": {14.4, 14.4, 6, 6, alertOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			all := []Rate{{Burn: c.short, Threshold: 14.4}, {Burn: c.hour, Threshold: 14.4}, {Burn: c.half, Threshold: 6}, {Burn: c.long, Threshold: 6}}
+			is.New(t).Equal(alert(all), c.want)
+		})
+	}
+}
+
+// TestTopSpenders guards against a bounded list that grows or that reports less than a spender spent.
+func TestTopSpenders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var top []Spender
+		spent := make(map[string]int64)
+		for _, n := range rapid.SliceOfN(rapid.IntRange(0, 40), 0, 300).Draw(t, "shards") {
+			shard := fmt.Sprint(n)
+			spent[shard]++
+			top = count(top, Spender{Shard: shard, Count: 1})
+		}
+		if len(top) > topSpenders {
+			t.Fatalf("%d spenders", len(top))
+		}
+		for _, s := range top {
+			if spent[s.Shard] > s.Count || spent[s.Shard] < s.Count-s.Excess {
+				t.Fatalf("%+v spent %d", s, spent[s.Shard])
+			}
+		}
+	})
+}
+
+// TestUpdate guards against counts of a service that left the catalogue, and against a changed objective that does
+// not show.
+func TestUpdate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, r := is.New(t), recorder("one", "two")
+		r.Record(Outcome{Application: "search", Parts: []Part{good("one"), good("two")}})
+		time.Sleep(time.Hour)
+		r.Update(entries(200*time.Millisecond, 99, "one"))
+		lines := report(r)
+		is.Equal(len(lines), 2)
+		is.Equal(lines[Key{"search", "one"}].LatencyMillis, 200.0)
+		is.Equal(lines[Key{"search", "one"}].Since, time.Now())
+	})
+}
+
+func BenchmarkRecord(b *testing.B) {
+	r, o := New("entry-1", "zone-a"), Outcome{Application: "search"}
+	var services []string
+	for n := range 20 {
+		services = append(services, fmt.Sprintf("service-%02d", n))
+		o.Parts = append(o.Parts, good(services[n]))
+	}
+	r.Update(entries(100*time.Millisecond, 99, services...))
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Record(o)
+	}
+}
--- /dev/null
+++ b/internal/burn/main_test.go
@@ -0,0 +1,9 @@
+package burn
+
+import (
+	"testing"
+
+	"github.com/medlarlatch/medlarlatch/internal/seed"
+)
+
+func TestMain(m *testing.M) { seed.Run(m) }
--- a/internal/entry/configured.go
+++ b/internal/entry/configured.go
@@ -89,6 +89,7 @@
 	for {
 		changed := i.holder.Changed()
 		if view := i.holder.Current(); view != nil {
+			i.burn.Update(view.Catalogue)
 			i.members.rebuild(view.Catalogue.ZonesOut(), view.Catalogue.InstancesOut())
 		}
 		select {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/admission"
 	"github.com/medlarlatch/medlarlatch/internal/backend"
+	"github.com/medlarlatch/medlarlatch/internal/burn"
 	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
@@ -64,6 +65,9 @@
 	runner    *ticket.Runner
 	tickets   *ticket.Router
 	parts     *parts
+	burn      *burn.Recorder
+	// indexes are the parsed indexes in force.
+	indexes atomic.Pointer[map[catalogue.ApplicationID]*snapshot.Index]
 
 	listed  atomic.Bool // the instance list has been read once
 	leaving atomic.Bool
@@ -85,7 +89,7 @@
 	if s.Seed == 0 {
 		s.Seed = rand.Uint64()
 	}
-	i := &Instance{settings: s, started: time.Now(), holdings: snapshot.NewHoldings()}
+	i := &Instance{settings: s, started: time.Now(), holdings: snapshot.NewHoldings(), burn: burn.New(string(s.Instance), string(s.Zone))}
 	var err error
 	if i.telemetry, err = telemetry.New(string(s.Instance), string(s.Zone)); err != nil {
 		return nil, err
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -226,7 +226,9 @@
 		table := i.members.table.Load()
 		i.owner.Refresh()
 		if view := i.holder.Current(); view != nil {
-			i.engine.Update(i.members.reach.Load().View(), view.Catalogue, indexes.of(view))
+			inForce := indexes.of(view)
+			i.indexes.Store(&inForce)
+			i.engine.Update(i.members.reach.Load().View(), view.Catalogue, inForce)
 		}
 		now := table.Claimed()
 		i.handOver(ctx, table, lost(claimed, now))
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -16,6 +16,7 @@
 
 // Send implements query.Sender.
 func (s sender) Send(ctx context.Context, owner fleet.InstanceID, parts []query.Part, deliver func(query.Result)) {
+	deliver = traceOf(ctx).sent(parts, deliver)
 	if owner == s.settings.Instance {
 		s.owner.Run(ctx, owner, parts, deliver)
 		return
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -36,6 +36,7 @@
 	if outcome.Err == nil {
 		return outcome.Answer, nil
 	}
+	s.notForwarded(request, outcome.Err)
 	return nil, &api.Refusal{
 		ID: request.Query.ID, Verdict: outcome.Err.Verdict, Reason: outcome.Err.Reason, Detail: outcome.Err.Detail,
 		RetryAfterMillis: outcome.Err.RetryAfter.Milliseconds(),
@@ -57,8 +58,8 @@
 	return api.Tickets{Tickets: issued, ValidMillis: valid.Milliseconds()}, nil
 }
 
-// execute admits and runs a query in this instance.
-func (i *Instance) execute(ctx context.Context, request httpapi.Request, once bool) (json.RawMessage, *api.Refusal) {
+// admitAndRun admits and runs a query in this instance.
+func (i *Instance) admitAndRun(ctx context.Context, request httpapi.Request, once bool) (json.RawMessage, *api.Refusal) {
 	view := i.holder.Current()
 	if view == nil || !i.listed.Load() {
 		return nil, &api.Refusal{
@@ -90,6 +91,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	answered(ctx, &answer)
 	body, err := json.Marshal(answer)
 	if err != nil {
 		return nil, &api.Refusal{ID: request.Query.ID, Verdict: verdict.Ran, Reason: verdict.ServerError, Detail: err.Error()}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -28,9 +28,6 @@
 	return true, verdict.None
 }
 
-// Burn implements httpapi.Reporter. The package for service-level objectives is not written yet.
-func (r reporter) Burn() any { return nil }
-
 // Status implements httpapi.Reporter.
 func (r reporter) Status() httpapi.Status {
 	ready, reason := r.Ready()
@@ -51,7 +48,9 @@
 		status.Configuration = httpapi.ConfigurationStatus{
 			Revision: view.Revision, Since: view.Since, Origin: view.Source.Origin.String(), StoreAlive: r.spreader.StoreAlive(),
 		}
-		for application, index := range newIndexes().of(view) {
+	}
+	if inForce := r.indexes.Load(); inForce != nil {
+		for application, index := range *inForce {
 			for _, version := range index.Versions() {
 				status.Indexes[string(application)] = append(status.Indexes[string(application)], uint64(version.Version))
 			}
