Draw the spenders of the bounded-list test evenly

Cause: TestTopSpenders passed with the inherited count switched off, because the drawn lists favoured few small numbers and seldom pushed a spender out.

Change: the spenders are drawn evenly from three times the bound.

Proof: with the inherited count or the excess off the test now fails; before, it passed with the inherited count off.

--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -230,8 +231,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var top []Spender
 		spent := make(map[string]int64)
-		for _, n := range rapid.SliceOfN(rapid.IntRange(0, 40), 0, 300).Draw(t, "shards") {
-			shard := fmt.Sprint(n)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "shards"), 0))
+		for range rapid.IntRange(0, 300).Draw(t, "length") {
+			shard := fmt.Sprint(random.IntN(3 * topSpenders))
 			spent[shard]++
 			top = count(top, Spender{Shard: shard, Count: 1})
 		}
