--- a/internal/query/handle.go
+++ b/internal/query/handle.go
@@ -15,8 +15,7 @@
 		return
 	}
 	shard := &q.shards[index]
-	at := slices.IndexFunc(shard.attempts, func(a attempt) bool { return a.id == result.Attempt })
-	ended := &shard.attempts[at]
+	ended := shard.attempt(result.Attempt)
 	if result.Shard != shard.shard || result.Version != q.version || result.Server != ended.to.id {
 		q.engine.counters.Mismatched.Add(1)
 		return
@@ -42,6 +41,16 @@
 	q.lose(index, ended, result.Err, now)
 }
 
+// attempt returns the attempt of an id that byAttempt has.
+func (s *shardRun) attempt(id uint64) *attempt {
+	for i := range s.attempts {
+		if s.attempts[i].id == id {
+			return &s.attempts[i]
+		}
+	}
+	return nil
+}
+
 func (q *query) succeed(shard *shardRun, ended *attempt, result *Result, now time.Time) {
 	q.observe(shard, now.Sub(ended.sent))
 	if ended.hedge {
@@ -75,6 +84,7 @@
 	if err.Reason == verdict.HedgeRefused {
 		// The owner refused the hedge because of its budget; the replica is still good for a retry.
 		shard.tried = without(shard.tried, ended.to.state)
+		shard.service.stats.refused.Store(now.UnixNano())
 		if shard.refused++; shard.refused <= mostRefusedHedges {
 			shard.hedged = false
 			q.hedgeLater(shard, now.Add(q.hedgeDelay(shard, now)))
@@ -82,7 +92,7 @@
 	} else {
 		shard.reason, shard.after = err.Reason, err.RetryAfter
 	}
-	if slices.ContainsFunc(shard.attempts, func(a attempt) bool { return a.live }) {
+	if shard.inFlight() {
 		return
 	}
 	if q.retry(index, ended, err, now) {
@@ -105,7 +115,8 @@
 	if q.partDeadline.Sub(now) < leastTime {
 		return false
 	}
-	free := failedBeforeServer(err) || err.Reason == verdict.VersionNotHeld
+	free := failedBeforeServer(err) || err.Reason == verdict.VersionNotHeld ||
+		err.Reason == verdict.Cold && err.Verdict == verdict.NotRun
 	if failedBeforeServer(err) && shard.reroutes < mostReroutes {
 		if owner, ok := q.engine.router.Route(ended.to.id); ok && owner != ended.owner {
 			shard.reroutes++
@@ -173,7 +184,12 @@
 
 // untouched tells whether no part that has ended can have run.
 func (q *query) untouched() bool {
-	return !slices.ContainsFunc(q.shards, func(s shardRun) bool { return s.verdict != verdict.NotRun })
+	for i := range q.shards {
+		if q.shards[i].verdict != verdict.NotRun {
+			return false
+		}
+	}
+	return true
 }
 
 func (q *query) anyLive() bool {
@@ -191,14 +207,14 @@
 	q.failed++
 }
 
-// expire marks the shards that have no result at the deadline.
+// expire marks the shards that have no result at the deadline. Their attempts stay live, so that the
+// answer has them as parts that may have run.
 func (q *query) expire() {
 	for i := range q.shards {
 		shard := &q.shards[i]
 		if shard.done || shard.failed {
 			continue
 		}
-		shard.verdict = max(shard.verdict, verdict.MayHaveRun)
 		q.fail(shard, verdict.DeadlinePassed)
 	}
 }
--- a/internal/query/stats.go
+++ b/internal/query/stats.go
@@ -19,6 +19,12 @@
 	// forgetting is the half-life of what is known about a replica's latency without a sample, so that a
 	// replica that was slow once is tried again. A trial of a straggler costs one hedge.
 	forgetting = 5 * time.Second
+	// coldForgetting halves the penalty of a replica that is not warm. Without it a replica would never
+	// get the requests that its ramp needs while another is warm; with it one gets about three a second
+	// from each coordinator.
+	coldForgetting = 50 * time.Millisecond
+	// similarShare is the part of a score, one fourth, by which a replica has to be better.
+	similarShare = 4
 	// Penalties of the choice between replicas, in time. Crossing zones costs 1 ms each way.
 	otherZonePenalty = 2 * time.Millisecond
 	unknownPenalty   = 5 * time.Millisecond
@@ -37,7 +43,7 @@
 	failures     atomic.Int64
 	avoidUntil   atomic.Int64
 	leavingUntil atomic.Int64
-	cold         atomic.Bool
+	coldSince    atomic.Int64 // time at which the owner last said so, Unix nanoseconds; 0 if warm
 }
 
 // account takes a result that matched an attempt sent at the given time.
@@ -46,8 +52,18 @@
 	if result.Leaving {
 		s.leavingUntil.Store(now.Add(leavingMemory).UnixNano())
 	}
-	s.cold.Store(!result.Warm)
+	if result.Err != nil && failedBeforeServer(result.Err) {
+		// The owner did not speak. The replica is not at fault; it is avoided briefly while the owner
+		// changes.
+		s.avoidUntil.Store(now.Add(avoidFirst).UnixNano())
+		return
+	}
 	s.wait.Store(int64(result.Wait))
+	if result.Warm {
+		s.coldSince.Store(0)
+	} else {
+		s.coldSince.Store(now.UnixNano())
+	}
 	if result.Err == nil {
 		s.failures.Store(0)
 		s.avoidUntil.Store(0)
@@ -55,15 +71,10 @@
 		return
 	}
 	switch result.Err.Reason {
-	case verdict.Cancelled, verdict.HedgeRefused:
+	case verdict.Cancelled, verdict.HedgeRefused, verdict.Cold:
 	case verdict.VersionNotHeld:
 		s.holding.Withdraw(result.Version, sent)
 	default:
-		if failedBeforeServer(result.Err) {
-			// The replica is not at fault; it is avoided briefly while its owner changes.
-			s.avoidUntil.Store(now.Add(avoidFirst).UnixNano())
-			return
-		}
 		count := min(s.failures.Add(1), 6)
 		s.avoidUntil.Store(now.Add(min(avoidFirst<<(count-1), avoidLongest)).UnixNano())
 	}
@@ -97,13 +108,13 @@
 		age := max(now.UnixNano()-s.sampled.Load(), 0)
 		latency += (known - typical) >> min(age/int64(forgetting), 40)
 		wait = max(s.wait.Load()-age, 0)
+	} else if !local {
+		// A known latency has the time between zones in it.
+		latency += int64(otherZonePenalty)
 	}
 	total := latency*(1+s.inFlight.Load()) + wait
-	if !local {
-		total += int64(otherZonePenalty)
-	}
-	if s.cold.Load() {
-		total += int64(notWarmPenalty)
+	if since := s.coldSince.Load(); since != 0 {
+		total += int64(notWarmPenalty) >> min(max(now.UnixNano()-since, 0)/int64(coldForgetting), 40)
 	}
 	if s.avoidUntil.Load() > now.UnixNano() {
 		total += int64(avoidPenalty)
@@ -124,6 +135,9 @@
 	// quantileStep is the relative step of the percentile estimator. It moves up by 0.95 and down by
 	// 0.05 of the step, which balance where 5% of the samples are above.
 	quantileStep = 0.1
+	// refusedMemory is how long hedges are kept for stragglers after an owner refused one. Owners count
+	// hedges over a minute; parts just above the percentile alone would use up what they allow.
+	refusedMemory = time.Minute
 	// Budgets in thousandths of an attempt: 10% retries and 5% hedges of first attempts, each
 	// with a small burst so that a service with few queries can use them at all.
 	retryEarn   = 100
@@ -138,6 +152,7 @@
 	samples    atomic.Int64
 	retries    budget
 	hedges     budget
+	refused    atomic.Int64 // time at which an owner last refused a hedge, Unix nanoseconds
 }
 
 func newServiceStats() *serviceStats {
@@ -175,6 +190,12 @@
 	return max(time.Duration(s.percentile.Load()), leastHedgeDelay)
 }
 
+// hedgesScarce tells whether hedges are to be kept for stragglers: more than half of the burst is used, or
+// an owner refused one lately.
+func (s *serviceStats) hedgesScarce(now time.Time) bool {
+	return s.hedges.left.Load() < budgetBurst/2 || now.UnixNano()-s.refused.Load() < int64(refusedMemory)
+}
+
 // budget is a token bucket that first attempts fill.
 type budget struct {
 	left atomic.Int64
@@ -186,9 +207,6 @@
 	}
 }
 
-// scarce tells whether more than half of the burst is used.
-func (b *budget) scarce() bool { return b.left.Load() < budgetBurst/2 }
-
 func (b *budget) take() bool {
 	for {
 		left := b.left.Load()
