Add the verb report burn, and a steered cluster of stand-ins

Cause: the counts of GET /v1/burn had no reader, and the operators' pages need transcripts of real runs.

Ruled out: a report of one instance, because a balancer spreads an application's queries over all of them; a plot by a script library, because the page must be one file without outside assets.

Change: report burn asks every listed entry instance, merges the counts, prints a table with what spent the budgets, and writes JSON or one HTML page with an SVG plot.

--- a/cmd/medlarlatch/main.go
+++ b/cmd/medlarlatch/main.go
@@ -19,11 +19,12 @@
 		version = build.Main.Version
 	}
 	code := command.Run(ctx, command.Environment{
-		Output:   os.Stdout,
-		Errors:   os.Stderr,
-		ReadFile: os.ReadFile,
-		Random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Version:  version,
+		Output:    os.Stdout,
+		Errors:    os.Stderr,
+		ReadFile:  os.ReadFile,
+		WriteFile: func(name string, text []byte) error { return os.WriteFile(name, text, 0o644) },
+		Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Version:   version,
 	}, os.Args[1:])
 	stop()
 	os.Exit(code)
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -235,7 +235,7 @@
 		for range rapid.IntRange(0, 300).Draw(t, "length") {
 			shard := fmt.Sprint(random.IntN(3 * topSpenders))
 			spent[shard]++
-			top = count(top, Spender{Shard: shard, Count: 1})
+			top = count(top, Spender{Shard: shard, Count: 1}, topSpenders)
 		}
 		if len(top) > topSpenders {
 			t.Fatalf("%d spenders", len(top))
--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -219,7 +219,7 @@
 		return nil, objective, false
 	}
 	if r.series[key] == nil && len(r.series) < maxSeries {
-		r.series[key] = &series{objective: objective, since: r.started}
+		r.series[key] = &series{objective: objective, bound: boundOf(key), since: r.started}
 	}
 	return r.series[key], objective, true
 }
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -127,7 +127,7 @@
 	if other.Since.After(l.Since) {
 		l.Since = other.Since
 	}
-	l.Spenders = mergeSpenders(l.Spenders, other.Spenders)
+	l.Spenders = mergeSpenders(boundOf(l.Key), l.Spenders, other.Spenders)
 	sums := make(map[int64]Bucket, len(l.Buckets))
 	for _, b := range slices.Concat(l.Buckets, other.Buckets) {
 		sum := sums[b.Minute]
--- a/internal/burn/series.go
+++ b/internal/burn/series.go
@@ -14,8 +14,10 @@
 	// long before; a shorter one takes more memory.
 	spenderSlots = 7
 	spenderSpan  = time.Hour
-	// topSpenders bounds the spenders of one span and those of a report line.
-	topSpenders = 16
+	// topSpenders bounds the spenders of one span and those of a report line. An application has the servers of all
+	// its services to tell apart.
+	topSpenders            = 16
+	topApplicationSpenders = 64
 )
 
 // Spender is something that spent an error budget.
@@ -36,6 +38,13 @@
 	Excess int64 `json:"excess,omitempty"`
 }
 
+func boundOf(key Key) int {
+	if key.Service == "" {
+		return topApplicationSpenders
+	}
+	return topSpenders
+}
+
 func (s Spender) identity() Spender {
 	s.Count, s.Excess = 0, 0
 	return s
@@ -50,6 +59,8 @@
 type series struct {
 	mutex     sync.Mutex
 	objective Objective
+	// bound is the length of a list of spenders.
+	bound int
 	// since is when the objective last changed, or the start.
 	since    time.Time
 	buckets  [Minutes]bucket
@@ -85,16 +96,16 @@
 	number := now.Unix() / int64(spenderSpan/time.Second)
 	current := &s.spenders[number%spenderSlots]
 	if current.number != number {
-		*current = span{number: number, top: make([]Spender, 0, topSpenders)}
+		*current = span{number: number, top: make([]Spender, 0, s.bound)}
 	}
 	for _, spender := range spenders {
-		current.top = count(current.top, spender)
+		current.top = count(current.top, spender, s.bound)
 	}
 }
 
 // count adds to a bounded list by the space-saving method: a new spender takes the place of the smallest one and
-// inherits its count as Excess. No spender with more than 1/topSpenders of the total is ever missing.
-func count(top []Spender, spender Spender) []Spender {
+// inherits its count as Excess. No spender with more than 1/bound of the total is ever missing.
+func count(top []Spender, spender Spender, bound int) []Spender {
 	identity := spender.identity()
 	smallest := 0
 	for i := range top {
@@ -107,7 +118,7 @@
 			smallest = i
 		}
 	}
-	if len(top) < topSpenders {
+	if len(top) < bound {
 		return append(top, spender)
 	}
 	spender.Excess += top[smallest].Count
@@ -137,12 +148,12 @@
 			lists = append(lists, span.top)
 		}
 	}
-	out.Spenders = mergeSpenders(lists...)
+	out.Spenders = mergeSpenders(s.bound, lists...)
 	return out
 }
 
 // mergeSpenders sums lists and keeps the largest spenders.
-func mergeSpenders(lists ...[]Spender) []Spender {
+func mergeSpenders(bound int, lists ...[]Spender) []Spender {
 	sums := make(map[Spender]Spender)
 	for _, list := range lists {
 		for _, spender := range list {
@@ -160,5 +171,5 @@
 		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Shard, b.Shard), cmp.Compare(a.Server, b.Server),
 			cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Reason, b.Reason))
 	})
-	return all[:min(len(all), topSpenders)]
+	return all[:min(len(all), bound)]
 }
--- a/internal/command/cases_test.go
+++ b/internal/command/cases_test.go
@@ -56,7 +56,7 @@
 	for i, zone := range []string{"zone-a", "zone-a", "zone-b", "zone-c"} {
 		id, address := fmt.Sprintf("entry-%d", i+1), fmt.Sprintf("10.0.0.%d:7101", i+1)
 		lines = append(lines, platform.Instance{ID: id, Kind: "entry", Zone: zone, Peers: fmt.Sprintf("10.0.0.%d:7102", i+1), Operators: address, State: "live"})
-		s.hosts[address] = s.status(id, zone)
+		s.hosts[address] = s.withBurn(id, zone, s.status(id, zone))
 	}
 	s.list = instances.New(lines...)
 	s.hosts["list:2401"] = s.list
@@ -112,7 +112,7 @@
 	var output, failures bytes.Buffer
 	code := Run(s.t.Context(), Environment{
 		Output: &output, Errors: &failures, ReadFile: s.readFile, Client: &http.Client{Transport: s},
-		Random: rand.New(rand.NewPCG(1, uint64(len(line)))), Version: "(test)",
+		Random: rand.New(rand.NewPCG(1, uint64(len(line)))), Version: "(test)", WriteFile: s.writeFile,
 	}, splitArguments(line))
 	if saved {
 		s.files[target] = output.String()
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -23,6 +23,8 @@
 	Output, Errors io.Writer
 	// ReadFile reads a file that an argument names.
 	ReadFile func(name string) ([]byte, error)
+	// WriteFile writes a file that a flag names.
+	WriteFile func(name string, text []byte) error
 	// Client is the HTTP client of operators' verbs; nil stands for one of its own.
 	Client *http.Client
 	Random *rand.Rand
@@ -50,7 +52,8 @@
 // verbs returns the table. It is a function because the verb help reads it.
 func verbs() []verb {
 	return []verb{
-		applyVerb, checkVerb, diffVerb, getVerb, helpVerb, instanceVerb, queryVerb, serveVerb, statusVerb, versionVerb, zoneVerb,
+		applyVerb, checkVerb, diffVerb, getVerb, helpVerb, instanceVerb, queryVerb, reportVerb, serveVerb, statusVerb,
+		versionVerb, zoneVerb,
 	}
 }
 
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -134,22 +134,7 @@
 }
 
 func (o *operator) status(ctx context.Context, address string) ([]byte, error) {
-	bounded, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(bounded, http.MethodGet, "http://"+address+"/v1/status", nil)
-	if err != nil {
-		return nil, err
-	}
-	request.Header.Set("Authorization", "Bearer "+o.key)
-	reply, err := o.client().Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer reply.Body.Close()
-	if reply.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d", reply.StatusCode)
-	}
-	return io.ReadAll(io.LimitReader(reply.Body, 16<<20))
+	return o.read(ctx, address, "/v1/status")
 }
 
 func (o *operator) client() *http.Client {
--- /dev/null
+++ b/internal/standin/cluster/operate.go
@@ -0,0 +1,32 @@
+package cluster
+
+import (
+	"context"
+
+	"github.com/medlarlatch/medlarlatch/internal/platform"
+)
+
+// Settings returns the settings file of an entry instance; operators' verbs find the platform by it.
+func (c *Cluster) Settings(n int) string { return c.Entries[n].settings }
+
+// Callers returns the address at which an entry instance listens for callers.
+func (c *Cluster) Callers(n int) string { return c.Entries[n].callers }
+
+// ListFaults replaces the faults of the instance list.
+func (c *Cluster) ListFaults(ctx context.Context, faults string) error {
+	return c.call(ctx, "PUT", "http://"+c.addresses.Instances+"/control/faults", faults, nil)
+}
+
+// SetListed changes the state that the instance list gives for an instance.
+func (c *Cluster) SetListed(ctx context.Context, id, state string) error {
+	var listed platform.InstanceList
+	if err := c.call(ctx, "GET", "http://"+c.addresses.Instances+"/v1/instances", nil, &listed); err != nil {
+		return err
+	}
+	for n := range listed.Instances {
+		if listed.Instances[n].ID == id {
+			listed.Instances[n].State = state
+		}
+	}
+	return c.call(ctx, "PUT", "http://"+c.addresses.Instances+"/control/instances", listed, nil)
+}
--- /dev/null
+++ b/internal/standin/program/steer.go
@@ -0,0 +1,109 @@
+package program
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/standin/cluster"
+)
+
+var clusterVerb = verb{"cluster", "the demo's processes until standard input ends, steered by its lines", runCluster}
+
+const clusterUsage = `lines: load SECONDS | fault SERVER JSON | store JSON | list JSON | listed ID STATE |
+       term INSTANCE | kill INSTANCE | start INSTANCE | ready`
+
+// runCluster lets people try the operators' verbs, and makes the transcripts of the operators' pages.
+func runCluster(ctx context.Context, flags *flag.FlagSet, arguments []string) error {
+	seed := flags.Uint64("seed", 1, "seed of the data, the queries and the service times")
+	serve := flags.String("serve", "", "program whose verb serve runs the entry instances; empty means this one's verb entry")
+	logs := flags.Bool("logs", false, "print the processes' log lines")
+	if err := flags.Parse(arguments); err != nil {
+		return err
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	options := cluster.Options{
+		Program: program, Serve: *serve, Seed: *seed, Applications: []string{"marshal-search", "handheld-tokens", "corral-ledger"},
+		Zones: []string{"zone-a", "zone-a", "zone-b", "zone-c"}, Versions: []uint64{1}, BalancerLag: time.Second,
+	}
+	if *logs {
+		options.Logs = os.Stderr
+	}
+	c, err := cluster.Start(ctx, options)
+	defer c.Close()
+	if err != nil {
+		return err
+	}
+	for n, entry := range c.Entries {
+		fmt.Printf("%s %s callers %s settings %s\n", entry.Name, entry.Zone, c.Callers(n), c.Settings(n))
+	}
+	generator, err := c.NewGenerator()
+	if err != nil {
+		return err
+	}
+	go generator.Follow(ctx)
+	lines := bufio.NewScanner(os.Stdin)
+	for ctx.Err() == nil && lines.Scan() {
+		if err := steer(ctx, c, generator, lines.Text()); err != nil {
+			fmt.Println("error:", err)
+			continue
+		}
+		fmt.Println("done:", lines.Text())
+	}
+	return lines.Err()
+}
+
+func steer(ctx context.Context, c *cluster.Cluster, generator *cluster.Generator, line string) error {
+	verb, rest, _ := strings.Cut(line, " ")
+	first, second, _ := strings.Cut(rest, " ")
+	switch verb {
+	case "load":
+		seconds, err := strconv.ParseFloat(rest, 64)
+		if err != nil {
+			return err
+		}
+		generator.Run(ctx, cluster.Load{PerSecond: map[string]int{"marshal-search": 40, "handheld-tokens": 40, "corral-ledger": 10}, Seconds: seconds})
+		return nil
+	case "fault":
+		return c.Fault(ctx, first, second)
+	case "store":
+		return c.StoreFaults(ctx, rest)
+	case "list":
+		return c.ListFaults(ctx, rest)
+	case "listed":
+		return c.SetListed(ctx, first, second)
+	case "ready":
+		return c.WaitReady(ctx)
+	case "term", "kill", "start":
+		return steerProcess(c, verb, rest)
+	default:
+		return fmt.Errorf("%s", clusterUsage)
+	}
+}
+
+func steerProcess(c *cluster.Cluster, verb, name string) error {
+	for n, entry := range c.Entries {
+		switch {
+		case entry.Name != name:
+		case verb == "term":
+			if err := c.Signal(n, syscall.SIGTERM); err != nil {
+				return err
+			}
+			return c.Wait(n, time.Minute)
+		case verb == "kill":
+			return c.Signal(n, syscall.SIGKILL)
+		default:
+			return c.StartEntry(n)
+		}
+	}
+	return fmt.Errorf("no entry instance %q", name)
+}
