Explain an instance in status: origin, backend servers, shares, refusals

Cause: the verb printed the revision alone. GET /v1/status gave an empty state for servers that another instance owns, no time for what is out, and neither the peer that a configuration came from nor the write id.

Ruled out: a second endpoint, because the report has the data; times in the catalogue for what is out, because they would be the operator's clock.

Change: the report has write-id, peer, the state elsewhere, and since when the instance knows a zone or an instance as out. The verb merges the owners' views of each backend server, and lists refusals by reason and peers that are not reached. The example of query has a bib that is a number.

--- a/internal/command/burn_test.go
+++ b/internal/command/burn_test.go
@@ -48,3 +48,24 @@
 		_ = json.NewEncoder(reply).Encode(counts)
 	})
 }
+
+// addServers gives entry-1 a shedding server, entry-2 the same one, which another instance owns, one that is out, and
+// refusals, and makes entry-4 not ready.
+func addServers(report map[string]any, id string) {
+	server := func(name, owner, state, reason string, slots int) map[string]any {
+		return map[string]any{
+			"server": name, "zone": "zone-a", "owner": owner, "state": state, "reason": reason, "slots-share": slots,
+			"connections-share": 10 * slots, "since": "2000-01-01T00:00:00Z",
+		}
+	}
+	switch id {
+	case "entry-1":
+		report["servers"] = []any{server("one-a", id, "shedding", "shedding", 3), server("one-b", id, "warm", "none", 3)}
+	case "entry-2":
+		report["servers"] = []any{server("one-a", "entry-1", "elsewhere", "none", 0), server("one-c", "", "out", "zone-out", 0)}
+		report["refusals"] = map[string]int{"overloaded": 2, "coverage-below-floor": 1}
+		report["peers"] = []any{map[string]any{"instance": "entry-3", "reachable": false, "leaving": true}}
+	case "entry-4":
+		report["ready"], report["reason"] = false, "not-ready"
+	}
+}
--- a/internal/command/cases_test.go
+++ b/internal/command/cases_test.go
@@ -78,6 +78,7 @@
 		if id != s.silent {
 			report["configuration"] = map[string]any{"revision": revision, "since": "2000-01-01T00:00:00Z", "origin": "store"}
 		}
+		addServers(report, id)
 		_ = json.NewEncoder(reply).Encode(report)
 	}
 }
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -14,6 +14,7 @@
 	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/httpapi"
 	"github.com/medlarlatch/medlarlatch/internal/platform"
 	"github.com/medlarlatch/medlarlatch/internal/settings"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
@@ -89,14 +90,15 @@
 
 // report is what this package reads of GET /v1/status.
 type report struct {
-	Instance      fleet.InstanceID `json:"instance"`
-	Zone          fleet.ZoneID     `json:"zone"`
-	Ready         bool             `json:"ready"`
-	Configuration *struct {
-		Revision uint64 `json:"revision"`
-		Since    string `json:"since"`
-		Origin   string `json:"origin"`
-	} `json:"configuration"`
+	Instance fleet.InstanceID `json:"instance"`
+	Zone     fleet.ZoneID     `json:"zone"`
+	Ready    bool             `json:"ready"`
+	// Reason is text, so that a reason that only a newer instance knows does not make the report unreadable.
+	Reason        string                       `json:"reason"`
+	Configuration *httpapi.ConfigurationStatus `json:"configuration"`
+	Servers       []struct {
+		Slots int `json:"slots-share"`
+	} `json:"servers,omitempty"`
 
 	// Error is set here if the instance gave no report.
 	Error string `json:"error,omitempty"`
@@ -109,6 +111,17 @@
 	return r.Error == "" && r.Configuration.Revision >= revision
 }
 
+// shares counts the servers that the instance may send to, and their slots.
+func (r report) shares() (servers, slots int) {
+	for _, server := range r.Servers {
+		if server.Slots > 0 {
+			servers++
+			slots += server.Slots
+		}
+	}
+	return servers, slots
+}
+
 // reports asks all entry instances at the same time, and returns a report for each of them.
 func (o *operator) reports(ctx context.Context, entries []fleet.Entry) []report {
 	reports := make([]report, len(entries))
--- a/internal/command/query.go
+++ b/internal/command/query.go
@@ -20,7 +20,7 @@
 	name:      "query",
 	summary:   "sends one query as a caller and prints the answer as JSON",
 	arguments: "APPLICATION --address IP:PORT [flags]",
-	example:   `medlarlatch query marshal-search --address 127.0.0.1:7100 --query '{"bib":"417"}'`,
+	example:   `medlarlatch query marshal-search --address 127.0.0.1:7100 --query '{"bib":417}'`,
 	options:   func() runner { return &queryOptions{} },
 }
 
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -9,7 +9,7 @@
 
 var statusVerb = verb{
 	name:      "status",
-	summary:   "prints the configuration in force at every entry instance",
+	summary:   "explains every entry instance: configuration in force, backend servers, refusals",
 	arguments: "[flags]",
 	example:   "medlarlatch status --settings examples/paddlemark/settings-entry-1.ini",
 	options:   func() runner { return &statusOptions{} },
@@ -17,6 +17,7 @@
 
 type statusOptions struct {
 	access
+	Servers bool `long:"servers" description:"list every backend server, also those in use"`
 }
 
 func (s *statusOptions) run(ctx context.Context, environment Environment, arguments []string) error {
@@ -57,13 +58,18 @@
 		return printJSON(environment.Output, whole)
 	}
 	table := tabwriter.NewWriter(environment.Output, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "INSTANCE\tZONE\tREADY\tREVISION\tSINCE\tFROM")
+	fmt.Fprintln(table, "INSTANCE\tZONE\tREADY\tREVISION\tIN FORCE SINCE\tFROM\tSERVERS\tSLOTS")
 	for _, r := range reports {
 		if r.Error != "" {
-			fmt.Fprintf(table, "%s\t%s\tno report\t-\t-\t%s\n", r.Instance, r.Zone, r.Error)
+			fmt.Fprintf(table, "%s\t%s\tno report\t-\t-\t%s\t-\t-\n", r.Instance, r.Zone, r.Error)
 			continue
 		}
-		fmt.Fprintf(table, "%s\t%s\t%t\t%d\t%s\t%s\n", r.Instance, r.Zone, r.Ready, r.Configuration.Revision, r.Configuration.Since, r.Configuration.Origin)
+		servers, slots := r.shares()
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%d\n", r.Instance, r.Zone, readiness(r.Ready, r.Reason), r.Configuration.Revision,
+			since(r.Configuration.Since), origin(*r.Configuration), servers, slots)
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return s.explain(environment.Output, reports)
 }
--- a/internal/entry/configured.go
+++ b/internal/entry/configured.go
@@ -90,6 +90,7 @@
 		changed := i.holder.Changed()
 		if view := i.holder.Current(); view != nil {
 			i.burn.Update(view.Catalogue)
+			i.outages.update(view)
 			i.members.rebuild(view.Catalogue.ZonesOut(), view.Catalogue.InstancesOut())
 		}
 		select {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -66,6 +66,7 @@
 	tickets   *ticket.Router
 	parts     *parts
 	burn      *burn.Recorder
+	outages   outages
 	// indexes are the parsed indexes in force.
 	indexes atomic.Pointer[map[catalogue.ApplicationID]*snapshot.Index]
 
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -9,6 +9,9 @@
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
+// elsewhere is the state of a server that another instance owns.
+const elsewhere = "elsewhere"
+
 // reporter tells operators about the instance.
 type reporter struct{ *Instance }
 
@@ -47,6 +50,7 @@
 	if view := r.holder.Current(); view != nil {
 		status.Configuration = httpapi.ConfigurationStatus{
 			Revision: view.Revision, Since: view.Since, Origin: view.Source.Origin.String(), StoreAlive: r.spreader.StoreAlive(),
+			WriteID: view.WriteID(), Peer: string(view.Source.Peer),
 		}
 	}
 	if inForce := r.indexes.Load(); inForce != nil {
@@ -80,6 +84,7 @@
 		owner, _ := table.Route(server.ID)
 		line := httpapi.ServerStatus{
 			Server: string(server.ID), Service: string(server.Service), Zone: string(server.Zone), Owner: string(owner),
+			State: elsewhere,
 		}
 		if slots, connections, ok := table.Claim(server.ID); ok {
 			known := own[server.ID]
@@ -90,9 +95,9 @@
 		}
 		switch {
 		case entries.ZoneOut(server.Zone):
-			line.State, line.Reason = "out", verdict.ZoneOut
+			line.State, line.Reason, line.Since = "out", verdict.ZoneOut, r.outages.zone(server.Zone)
 		case entries.InstanceOut(fleet.InstanceID(server.ID)):
-			line.State, line.Reason = "out", verdict.InstanceOut
+			line.State, line.Reason, line.Since = "out", verdict.InstanceOut, r.outages.instance(fleet.InstanceID(server.ID))
 		case server.Leaving:
 			line.State, line.Reason = replica.Leaving.String(), verdict.Leaving
 		}
@@ -113,7 +118,7 @@
 		"medlarlatch.documents.rejected": func() int64 { return int64(i.holder.Rejected()) },
 	}
 	for name, value := range values {
-		if err := i.telemetry.Counter(name, "See docs/operations.md.", value); err != nil {
+		if err := i.telemetry.Counter(name, "See docs/operators/status.md.", value); err != nil {
 			return err
 		}
 	}
@@ -129,7 +134,7 @@
 		},
 	}
 	for name, value := range gauges {
-		if err := i.telemetry.Gauge(name, "See docs/operations.md.", value); err != nil {
+		if err := i.telemetry.Gauge(name, "See docs/operators/status.md.", value); err != nil {
 			return err
 		}
 	}
--- a/internal/httpapi/operators.go
+++ b/internal/httpapi/operators.go
@@ -37,8 +37,11 @@
 	Revision uint64 `json:"revision"`
 	// Since is when this instance adopted the revision.
 	Since time.Time `json:"since"`
-	// Origin is the store or a peer.
+	// WriteID is the id of the write that made the revision.
+	WriteID string `json:"write-id"`
+	// Origin is the store or a peer; Peer names it.
 	Origin string `json:"origin"`
+	Peer   string `json:"peer,omitempty"`
 	// StoreAlive tells whether this instance watches the store and its last call succeeded.
 	StoreAlive bool `json:"store-alive"`
 }
@@ -58,8 +61,9 @@
 	Out       bool   `json:"out"`
 }
 
-// ServerStatus is a backend server as this instance sees it. The counts are those of its owner and are zero
-// elsewhere.
+// ServerStatus is a backend server as this instance sees it. The state is one of package replica's for a server that
+// this instance owns a share of, out for one that operators took out, and else elsewhere: its owner knows. The counts
+// are those of its owner and are zero elsewhere.
 type ServerStatus struct {
 	Server      string         `json:"server"`
 	Service     string         `json:"service"`
