Bound the wait of parts for a connection to a peer

Cause: parts for a peer without a ready connection waited for the dial until their deadline. A peer that is stopped or cut off accepts connections and answers no handshake, so the dial ends after 500 ms, which is the whole deadline of corral-ledger. A request that must not run twice has no hedge: it was refused as not run, peer-unreachable, at the deadline, though other replicas had other owners.

Ruled out: the ownership table (no other instance may claim before 1.5 s, as the design says) and the parts sent on the old connection (those are truly may-have-run until their deadline).

Change: parts wait for a connection for a quarter of the time left; then the coordinator tries another replica.

--- a/internal/peer/send.go
+++ b/internal/peer/send.go
@@ -50,7 +50,7 @@
 		return
 	}
 	go func() {
-		wait, cancel := context.WithDeadline(ctx, latestDeadline(parts))
+		wait, cancel := context.WithDeadline(ctx, connectBy(time.Now(), parts))
 		defer cancel()
 		l, err := to.link(wait)
 		if err != nil && ctx.Err() != nil {
@@ -65,14 +65,19 @@
 	}()
 }
 
-func latestDeadline(parts []query.Part) time.Time {
+// connectShare is the part of the time left that parts wait for a connection. A peer that has stopped or is cut
+// off accepts nothing, and the coordinator needs the rest of the time for another replica or for a refusal that
+// comes long before the deadline.
+const connectShare = 4
+
+func connectBy(now time.Time, parts []query.Part) time.Time {
 	latest := parts[0].Deadline
 	for _, part := range parts[1:] {
 		if part.Deadline.After(latest) {
 			latest = part.Deadline
 		}
 	}
-	return latest
+	return now.Add(latest.Sub(now) / connectShare)
 }
 
 func (c *outCall) start(ctx context.Context, l *link, parts []query.Part) {
