Add schedules of faults over separate processes with checks of their history

Before, each test over processes had one fixed fault, and nothing held what callers were told against what the servers ran.

Ports of entry instances are now below the range of the system: with 6 clusters in parallel one did not start, because a relay had taken the port of an instance between its choice and its start.

--- a/internal/seed/seed.go
+++ b/internal/seed/seed.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strconv"
 	"testing"
 )
 
@@ -30,3 +31,9 @@
 	}
 	os.Exit(m.Run())
 }
+
+// Given returns the seed that the variable sets, for tests that draw from a seed without rapid.
+func Given() (uint64, bool) {
+	value, err := strconv.ParseUint(os.Getenv(variable), 10, 64)
+	return value, err == nil
+}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -13,7 +13,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -58,6 +57,8 @@
 	Versions []uint64
 	// BalancerLag is how long a leaving instance goes on serving.
 	BalancerLag time.Duration
+	// Relays puts a link that can be cut on every way between entry instances and to the platform.
+	Relays bool
 	// Logs receives what the processes write to standard error.
 	Logs io.Writer
 }
@@ -75,6 +76,7 @@
 	directory    string
 	client       *http.Client
 	logs         sync.Mutex
+	network      *network
 }
 
 // Entry is one entry instance.
@@ -185,13 +187,14 @@
 	e := &Entry{Name: fmt.Sprintf("entry-%d", n+1), Zone: zone}
 	addresses := []*string{&e.callers, &e.operators, &e.peers}
 	for _, address := range addresses {
-		// The port is free when it is chosen; a cluster that loses it to another process fails to start.
-		listening, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+		var err error
+		if *address, err = reserveAddress(); err != nil {
 			return nil, err
 		}
-		*address = listening.Addr().String()
-		defer func() { _ = listening.Close() }()
+	}
+	storeAddress, listAddress, err := c.platformOf(n, zone)
+	if err != nil {
+		return nil, err
 	}
 	e.settings = filepath.Join(c.directory, e.Name+".ini")
 	text := fmt.Sprintf(`[instance]
@@ -210,7 +213,7 @@
 operator-key = %s
 [shutdown]
 balancer-lag = %s
-`, e.Name, zone, e.callers, e.operators, e.peers, c.addresses.Store, c.addresses.Instances, peerKey, operatorKey, c.BalancerLag)
+`, e.Name, zone, e.callers, e.operators, e.peers, storeAddress, listAddress, peerKey, operatorKey, c.BalancerLag)
 	return e, os.WriteFile(e.settings, []byte(text), 0o600)
 }
 
@@ -306,6 +309,7 @@
 		_ = p.command.Process.Kill()
 		<-p.ended
 	}
+	c.network.close()
 	_ = os.RemoveAll(c.directory)
 }
 
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -16,6 +16,7 @@
 type Ledger struct {
 	mutex sync.Mutex
 	runs  map[string]int
+	tags  tags
 }
 
 // NewLedger returns an empty ledger.
@@ -151,6 +152,9 @@
 		}
 		writeJSON(w, http.StatusOK, report)
 	})
+	mux.HandleFunc("GET /control/runs", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, h.ledger.All())
+	})
 	mux.HandleFunc("POST /control/reset", func(w http.ResponseWriter, _ *http.Request) {
 		for _, server := range h.order {
 			server.ResetObserved()
--- a/internal/standin/protocol.go
+++ b/internal/standin/protocol.go
@@ -96,6 +96,8 @@
 	if err == nil && !s.options.Application.Idempotent {
 		key, _ := intakeKey(asked.Query)
 		s.options.Ledger.record(s.options.Application.Name, key)
+	} else if err == nil && s.options.Ledger != nil {
+		s.options.Ledger.tags.record(asked.Shard, asked.Query)
 	}
 	s.end(asked.RequestID, true)
 	faults = s.thawed(ctx)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -49,8 +49,10 @@
 	shedTill time.Time
 	// leavingSince is when the server last began to say that it leaves.
 	leavingSince time.Time
-	running      map[string]*execution
-	seen         Observations
+	// unanswered is set from a restart after which connections were lost until the first answer.
+	unanswered bool
+	running    map[string]*execution
+	seen       Observations
 }
 
 type execution struct {
@@ -71,6 +73,9 @@
 	Refused         int64 `json:"refused-connections"`
 	// AfterLeaving counts queries that came more than 3 s after the server began to say that it leaves.
 	AfterLeaving int64 `json:"after-leaving"`
+	// PeakUnanswered is the most requests in flight between a restart after which connections were lost and the
+	// first answer.
+	PeakUnanswered int `json:"peak-unanswered"`
 	// Slots and Limit repeat the server's limits beside the peaks.
 	Slots int `json:"slots"`
 	Limit int `json:"connection-limit"`
@@ -130,6 +135,11 @@
 	if after.Cold && !before.Cold || before.Down && !after.Down {
 		s.restart()
 	}
+	if before.Down && !after.Down {
+		s.mutex.Lock()
+		s.unanswered = true
+		s.mutex.Unlock()
+	}
 	s.faults.Store(&after)
 	if !after.Down && before.Down {
 		s.listener.setDown(false)
@@ -174,6 +184,9 @@
 	defer s.mutex.Unlock()
 	s.seen.Queries++
 	s.seen.PeakInFlight = max(s.seen.PeakInFlight, s.inFlight+1)
+	if s.unanswered {
+		s.seen.PeakUnanswered = max(s.seen.PeakUnanswered, s.inFlight+1)
+	}
 	if faults.Leaving && time.Since(s.leavingSince) > leavingGrace {
 		s.seen.AfterLeaving++
 	}
@@ -202,6 +215,7 @@
 	s.inFlight--
 	delete(s.running, id)
 	if ran {
+		s.unanswered = false
 		s.seen.Executed++
 		s.coldRuns++
 	} else {
