--- a/internal/standin/cluster/processes.go
+++ b/internal/standin/cluster/processes.go
@@ -93,5 +93,6 @@
 		_ = p.command.Process.Kill()
 		<-p.ended
 	}
+	c.network.close()
 	_ = os.RemoveAll(c.directory)
 }
