Run the demo on the example catalogues at the sizes of today

Cause: the demo had three applications with limits of its own, and the example catalogues were used by two tests only.

--- a/internal/standin/dataset.go
+++ b/internal/standin/dataset.go
@@ -14,20 +14,19 @@
 
 // Application is an application of a deployment: its services, their limits and its data.
 type Application struct {
-	Name        string
-	Owner       string
-	Class       string
-	Idempotent  bool
-	Services    int
-	Replicas    int
-	Slots       int
-	Connections int
-	// ConnectMillis is the cost of a new connection.
+	Name string
+	// Idempotent and the limits are those of the example catalogues.
+	Idempotent    bool
+	Services      int
+	Slots         int
+	Connections   int
 	ConnectMillis int
-	// ServiceMillis is the median service time.
-	ServiceMillis  float64
+	// DeadlineMillis is the longest time that a query may take.
 	DeadlineMillis int
-	BelowFloor     string
+	// Replicas is the number of servers of each service.
+	Replicas int
+	// ServiceMillis is the median service time.
+	ServiceMillis float64
 	// Shard is the start of the shards' names.
 	Shard string
 	Data  Data
@@ -41,6 +40,15 @@
 	Query(n uint64) json.RawMessage
 }
 
+// sized returns the application with the number of services and the limits that the example catalogues give.
+func sized(a Application) Application {
+	services := exampleServices(a.Name)
+	first := services[0]
+	a.Idempotent, a.Services, a.Slots, a.Connections = first.Idempotent, len(services), first.Slots, first.Connections
+	a.ConnectMillis, a.DeadlineMillis = int(first.ConnectCost.Milliseconds()), int(first.Deadline.Milliseconds())
+	return a
+}
+
 // Service returns the name of a service of the application, counted from 1.
 func (a Application) Service(number int) string {
 	if a.Services == 1 {
--- a/internal/standin/guaman.go
+++ b/internal/standin/guaman.go
@@ -20,26 +20,10 @@
 func Guaman(seed uint64) []Application {
 	data := tokenData{seed: seed}
 	return []Application{
-		{
-			Name: "handheld-tokens", Owner: "rides", Class: "interactive", Idempotent: true, Services: 20, Replicas: 2,
-			Slots: 2, Connections: 25, ConnectMillis: 6, ServiceMillis: 3, DeadlineMillis: 140, BelowFloor: "partial",
-			Shard: "corral", Data: data,
-		},
-		{
-			Name: "feed-ordering", Owner: "stables", Class: "batch", Idempotent: true, Services: 30, Replicas: 2,
-			Slots: 2, Connections: 25, ConnectMillis: 6, ServiceMillis: 6, DeadlineMillis: 1000, BelowFloor: "partial",
-			Shard: "feed", Data: data,
-		},
-		{
-			Name: "corral-ledger", Owner: "treasury", Class: "settlement", Idempotent: false, Services: 1, Replicas: 9,
-			Slots: 4, Connections: 45, ConnectMillis: 1, ServiceMillis: 8, DeadlineMillis: 500, BelowFloor: "refuse",
-			Shard: "ledger", Data: intakeData{kind: "settlement", seed: seed},
-		},
-		{
-			Name: "guide-scheduling", Owner: "rides", Class: "interactive", Idempotent: true, Services: 1, Replicas: 4,
-			Slots: 4, Connections: 45, ConnectMillis: 1, ServiceMillis: 8, DeadlineMillis: 500, BelowFloor: "refuse",
-			Shard: "guides", Data: data,
-		},
+		sized(Application{Name: "handheld-tokens", Replicas: 2, ServiceMillis: 3, Shard: "corral", Data: data}),
+		sized(Application{Name: "feed-ordering", Replicas: 2, ServiceMillis: 6, Shard: "feed", Data: data}),
+		sized(Application{Name: "corral-ledger", Replicas: 9, ServiceMillis: 8, Shard: "ledger", Data: intakeData{kind: "settlement", seed: seed}}),
+		sized(Application{Name: "guide-scheduling", Replicas: 4, ServiceMillis: 8, Shard: "guides", Data: data}),
 	}
 }
 
--- a/internal/standin/paddlemark.go
+++ b/internal/standin/paddlemark.go
@@ -24,26 +24,10 @@
 func Paddlemark(seed uint64) []Application {
 	data := bibData{seed: seed}
 	return []Application{
-		{
-			Name: "marshal-search", Owner: "race-control", Class: "interactive", Idempotent: true, Services: 20, Replicas: 2,
-			Slots: 3, Connections: 30, ConnectMillis: 6, ServiceMillis: 3, DeadlineMillis: 140, BelowFloor: "refuse",
-			Shard: "bibs", Data: data,
-		},
-		{
-			Name: "printing", Owner: "race-office", Class: "batch", Idempotent: true, Services: 30, Replicas: 2,
-			Slots: 3, Connections: 30, ConnectMillis: 6, ServiceMillis: 6, DeadlineMillis: 1000, BelowFloor: "partial",
-			Shard: "sheets", Data: data,
-		},
-		{
-			Name: "club-entries", Owner: "clubs", Class: "interactive", Idempotent: true, Services: 1, Replicas: 25,
-			Slots: 2, Connections: 110, ConnectMillis: 1, ServiceMillis: 4, DeadlineMillis: 300, BelowFloor: "refuse",
-			Shard: "entries", Data: data,
-		},
-		{
-			Name: "waiver-intake", Owner: "race-office", Class: "settlement", Idempotent: false, Services: 1, Replicas: 13,
-			Slots: 2, Connections: 110, ConnectMillis: 1, ServiceMillis: 5, DeadlineMillis: 500, BelowFloor: "refuse",
-			Shard: "waivers", Data: intakeData{kind: "waiver", seed: seed},
-		},
+		sized(Application{Name: "marshal-search", Replicas: 2, ServiceMillis: 3, Shard: "bibs", Data: data}),
+		sized(Application{Name: "printing", Replicas: 2, ServiceMillis: 6, Shard: "sheets", Data: data}),
+		sized(Application{Name: "club-entries", Replicas: 25, ServiceMillis: 4, Shard: "entries", Data: data}),
+		sized(Application{Name: "waiver-intake", Replicas: 13, ServiceMillis: 5, Shard: "waivers", Data: intakeData{kind: "waiver", seed: seed}}),
 	}
 }
 
--- a/internal/standin/program/demo.go
+++ b/internal/standin/program/demo.go
@@ -4,7 +4,9 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/medlarlatch/medlarlatch/internal/catalogue"
@@ -18,6 +20,12 @@
 
 var demoVerb = verb{"demo", "both deployments on loopback: queries, faults and what was seen", runDemo}
 
+// demoLoad is the number of queries a second of each application of the example catalogues.
+var demoLoad = map[string]int{
+	"marshal-search": 40, "printing": 2, "club-entries": 10, "waiver-intake": 5,
+	"handheld-tokens": 40, "feed-ordering": 2, "corral-ledger": 10, "guide-scheduling": 5,
+}
+
 // demo is one run: a cluster, a load and the promises that were broken.
 type demo struct {
 	cluster   *cluster.Cluster
@@ -44,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, demoLimit)
 	defer cancel()
 	options := cluster.Options{
-		Program: program, Serve: *serve, Seed: *seed, Applications: []string{"marshal-search", "handheld-tokens", "corral-ledger"},
+		Program: program, Serve: *serve, Seed: *seed,
 		Zones: []string{"zone-a", "zone-a", "zone-b", "zone-c"}, Versions: []uint64{1}, BalancerLag: time.Second,
 	}
 	if *logs {
@@ -56,9 +64,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("4 entry instances in 3 zones, 80 replicas of 40 services and 9 of one that must not run twice; up in %.1f s\n",
-		time.Since(started).Seconds())
-	d := &demo{cluster: c, zones: make(map[string]string), load: map[string]int{"marshal-search": 40, "handheld-tokens": 40, "corral-ledger": 10}}
+	d := &demo{cluster: c, zones: make(map[string]string), load: demoLoad}
 	if d.generator, err = c.NewGenerator(); err != nil {
 		return err
 	}
@@ -69,6 +75,8 @@
 	for _, server := range status.Servers {
 		d.zones[server.Server] = server.Zone
 	}
+	fmt.Printf("4 entry instances in 3 zones before the %d backend servers of both deployments; up in %.1f s\n",
+		len(d.zones), time.Since(started).Seconds())
 	go d.generator.Follow(ctx)
 	if err := d.phases(ctx); err != nil {
 		return err
@@ -184,11 +192,11 @@
 		return err
 	}
 	fmt.Printf("\n%s (%.0f s)\n", p.name, p.seconds)
-	for _, name := range []string{"marshal-search", "handheld-tokens", "corral-ledger"} {
+	for _, name := range slices.Sorted(maps.Keys(d.load)) {
 		d.print(name, outcomes[name])
 	}
 	d.printServers(report, now[0]-sent[0], now[1]-sent[1], now[2]-sent[2])
-	d.checkEffects(report, outcomes["corral-ledger"])
+	d.checkEffects(report, len(outcomes["corral-ledger"].Keys)+len(outcomes["waiver-intake"].Keys))
 	if p.after != nil {
 		return p.after(ctx)
 	}
@@ -262,12 +270,12 @@
 func percent(part, whole int64) float64 { return 100 * float64(part) / float64(max(whole, 1)) }
 
 // checkEffects compares what took effect with what callers were told.
-func (d *demo) checkEffects(report standin.Report, outcome *cluster.Outcome) {
+func (d *demo) checkEffects(report standin.Report, answered int) {
 	if duplicates := report.Effects.Duplicates; len(duplicates) > 0 {
 		d.broken = append(d.broken, fmt.Sprintf("%d keys ran more than once, such as %s", len(duplicates), duplicates[0]))
 	}
-	d.settled += len(outcome.Keys)
+	d.settled += answered
 	if report.Effects.Keys < d.settled {
-		d.broken = append(d.broken, fmt.Sprintf("%d settlements were answered and only %d took effect", d.settled, report.Effects.Keys))
+		d.broken = append(d.broken, fmt.Sprintf("%d settlements and waivers were answered and only %d took effect", d.settled, report.Effects.Keys))
 	}
 }
--- a/internal/standin/publisher.go
+++ b/internal/standin/publisher.go
@@ -2,9 +2,10 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"slices"
-	"strings"
+
+	"github.com/medlarlatch/medlarlatch/examples"
+	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 )
 
 // IndexKey is the store's key of an application's index versions.
@@ -34,29 +35,27 @@
 	return text
 }
 
-// Configuration is the catalogue of the applications as an operator writes it.
+// Configuration is the part of the example catalogues that holds the applications, as an operator writes it.
 func Configuration(applications []Application) string {
-	var text strings.Builder
-	text.WriteString("[configuration]\nformat = 1\n")
-	for _, a := range applications {
-		for number := 1; number <= a.Services; number++ {
-			fmt.Fprintf(&text, `
-[service %s]
-owner = %s
-application = %s
-class = %s
-idempotent = %t
-slots = %d
-connections = %d
-connect-cost = %dms
-deadline = %dms
-coverage-floor = 0.95
-below-floor = %s
-latency-objective = %dms
-objective-percent = 99
-`, a.Service(number), a.Owner, a.Name, a.Class, a.Idempotent, a.Slots, a.Connections, a.ConnectMillis,
-				a.DeadlineMillis, a.BelowFloor, a.DeadlineMillis*5/7)
+	var services []catalogue.Service
+	for _, application := range applications {
+		services = append(services, exampleServices(application.Name)...)
+	}
+	return catalogue.New(services).Format()
+}
+
+// exampleServices returns the services of an application in the example catalogues, in the order of their names.
+func exampleServices(application string) []catalogue.Service {
+	var services []catalogue.Service
+	for _, text := range []string{examples.Paddlemark, examples.Guaman} {
+		parsed, faults := catalogue.Parse("example", text)
+		if err := faults.Err(); err != nil {
+			panic(err) // the examples are part of the program and checked by its tests
+		}
+		for _, id := range parsed.Application(catalogue.ApplicationID(application)) {
+			service, _ := parsed.Service(id)
+			services = append(services, service)
 		}
 	}
-	return text.String()
+	return services
 }
