Try a backend server alone after a second without an answer

The ramp rested on the endpoint, which may lag or mislead. Ruled out: reading the endpoint more often, since it may lag all the same. Change: the room of a server is 1 until an answer of the last second (or of twice its service time) shows that the process is the same. Only answers count, not the endpoint. Cost: one service time for a burst after a second without traffic.

--- a/internal/replica/gate.go
+++ b/internal/replica/gate.go
@@ -70,6 +70,9 @@
 // room returns the number of calls that may be in flight now.
 func (g *gate) room(now time.Time) int {
 	room := min(g.ramp.limit, g.slots)
+	if now.Sub(g.confirmed) > max(confirmedFor, 2*g.mean) {
+		room = min(room, 1)
+	}
 	if g.reserved > 0 {
 		if now.Before(g.reservedUntil) {
 			return max(0, min(room, g.slots-g.reserved))
--- a/internal/replica/owner_test.go
+++ b/internal/replica/owner_test.go
@@ -255,6 +255,38 @@
 	}
 }
 
+// Guards against a full load on a server that was started again while nothing was sent to it, where its state
+// endpoint has said nothing.
+func TestIdleServerIsTriedAlone(t *testing.T) {
+	tests := map[string]struct {
+		idle time.Duration
+		peak int
+	}{
+		"answered just now": {20 * time.Millisecond, 4},
+		"idle":              {2 * time.Second, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRig(1, 4)
+				r.warm("s0")
+				time.Sleep(test.idle)
+				server := r.servers["s0"]
+				server.set(func(*backend) {})
+				r.send("s0", 8, time.Second, nil)
+				time.Sleep(9 * time.Millisecond)
+				peak, _ := server.seen()
+				is.Equal(peak, test.peak)
+				time.Sleep(6 * time.Millisecond)
+				peak, _ = server.seen()
+				is.Equal(peak, 4) // the answer shows that the process is the same
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // Guards against new work for a server that leaves or that operators have taken out, including parts
 // that were queued before.
 func TestNoPartForServersThatAreOutOrLeaving(t *testing.T) {
--- a/internal/replica/ramp.go
+++ b/internal/replica/ramp.go
@@ -17,6 +17,10 @@
 	silentRun = 3
 	// sheddingHold is how long a server counts as shedding after it refused load.
 	sheddingHold = time.Second
+	// confirmedFor is how long an answer shows that the server's process is still the one that was warmed up. An idle
+	// server may have been started again, and its state endpoint may lag, so the first call after a longer
+	// time goes alone. A service that takes longer than half of it has twice its service time instead.
+	confirmedFor = time.Second
 	// defaultServiceTime stands in for the service time before the first answer where the catalogue
 	// names no latency objective.
 	defaultServiceTime = 20 * time.Millisecond
@@ -33,6 +37,8 @@
 	// as it is now.
 	epoch     uint32
 	startMark string
+	// confirmed is the time of the last answer in the present epoch.
+	confirmed time.Time
 	// formerMark is the mark before startMark; the state endpoint may still show it.
 	formerMark  string
 	mean        time.Duration
@@ -73,6 +79,7 @@
 		return
 	}
 	r.unanswered = 0
+	r.confirmed = now
 	if reply.StartMark != "" && reply.StartMark != r.startMark {
 		if r.startMark != "" {
 			r.restarted(now, reply.StartMark)
