--- a/internal/entry/configured.go
+++ b/internal/entry/configured.go
@@ -108,6 +108,8 @@
 	for {
 		changed := i.holder.Changed()
 		if view := i.holder.Current(); view != nil {
+			i.burn.Update(view.Catalogue)
+			i.outages.update(view)
 			i.members.adopt(view.Catalogue)
 		}
 		select {
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -13,13 +13,10 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -58,6 +55,8 @@
 	Versions []uint64
 	// BalancerLag is how long a leaving instance goes on serving.
 	BalancerLag time.Duration
+	// Relays puts a link that can be cut on every way between entry instances and to the platform.
+	Relays bool
 	// Logs receives what the processes write to standard error.
 	Logs io.Writer
 }
@@ -75,6 +74,7 @@
 	directory    string
 	client       *http.Client
 	logs         sync.Mutex
+	network      *network
 }
 
 // Entry is one entry instance.
@@ -85,13 +85,6 @@
 	process                   *process
 }
 
-type process struct {
-	command *exec.Cmd
-	input   io.WriteCloser
-	ended   chan struct{}
-	err     error
-}
-
 // Start starts everything and waits until every entry instance is ready. Close must be called in any case.
 func Start(ctx context.Context, options Options) (*Cluster, error) {
 	c := &Cluster{
@@ -185,13 +178,14 @@
 	e := &Entry{Name: fmt.Sprintf("entry-%d", n+1), Zone: zone}
 	addresses := []*string{&e.callers, &e.operators, &e.peers}
 	for _, address := range addresses {
-		// The port is free when it is chosen; a cluster that loses it to another process fails to start.
-		listening, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+		var err error
+		if *address, err = reserveAddress(); err != nil {
 			return nil, err
 		}
-		*address = listening.Addr().String()
-		defer func() { _ = listening.Close() }()
+	}
+	storeAddress, listAddress, err := c.platformOf(n, zone)
+	if err != nil {
+		return nil, err
 	}
 	e.settings = filepath.Join(c.directory, e.Name+".ini")
 	text := fmt.Sprintf(`[instance]
@@ -210,7 +204,7 @@
 operator-key = %s
 [shutdown]
 balancer-lag = %s
-`, e.Name, zone, e.callers, e.operators, e.peers, c.addresses.Store, c.addresses.Instances, peerKey, operatorKey, c.BalancerLag)
+`, e.Name, zone, e.callers, e.operators, e.peers, storeAddress, listAddress, peerKey, operatorKey, c.BalancerLag)
 	return e, os.WriteFile(e.settings, []byte(text), 0o600)
 }
 
@@ -229,86 +223,6 @@
 	return c.call(ctx, http.MethodPut, "http://"+c.addresses.Instances+"/control/instances", listed, nil)
 }
 
-// StartEntry starts the process of an entry instance.
-func (c *Cluster) StartEntry(n int) error {
-	e := c.Entries[n]
-	program, arguments := c.Program, []string{"entry", "--settings", e.settings}
-	if c.Serve != "" {
-		program, arguments = c.Serve, []string{"serve", "--settings", e.settings}
-	}
-	p, _, err := c.start(program, arguments...)
-	e.process = p
-	return err
-}
-
-// start runs a program whose standard input ends with this process, so that it cannot stay behind.
-func (c *Cluster) start(program string, arguments ...string) (*process, io.Reader, error) {
-	command := exec.Command(program, arguments...)
-	command.Env = append(os.Environ(), c.Environment...)
-	input, err := command.StdinPipe()
-	if err != nil {
-		return nil, nil, err
-	}
-	output, err := command.StdoutPipe()
-	if err != nil {
-		return nil, nil, err
-	}
-	command.Stderr = lockedWriter{c}
-	if err := command.Start(); err != nil {
-		return nil, nil, err
-	}
-	p := &process{command: command, input: input, ended: make(chan struct{})}
-	go func() {
-		p.err = command.Wait()
-		close(p.ended)
-	}()
-	return p, output, nil
-}
-
-type lockedWriter struct{ c *Cluster }
-
-func (w lockedWriter) Write(text []byte) (int, error) {
-	if w.c.Logs == nil {
-		return len(text), nil
-	}
-	w.c.logs.Lock()
-	defer w.c.logs.Unlock()
-	return w.c.Logs.Write(text)
-}
-
-// Signal sends a signal to an entry instance.
-func (c *Cluster) Signal(n int, signal syscall.Signal) error {
-	return c.Entries[n].process.command.Process.Signal(signal)
-}
-
-// Wait waits for the end of an entry instance's process.
-func (c *Cluster) Wait(n int, patience time.Duration) error {
-	p := c.Entries[n].process
-	select {
-	case <-p.ended:
-		return p.err
-	case <-time.After(patience):
-		return fmt.Errorf("%s did not end within %s", c.Entries[n].Name, patience)
-	}
-}
-
-// Close ends all processes of the cluster and waits for them.
-func (c *Cluster) Close() {
-	all := make([]*process, 0, len(c.Entries)+1)
-	for _, e := range c.Entries {
-		all = append(all, e.process)
-	}
-	for _, p := range append(all, c.stand) {
-		if p == nil {
-			continue
-		}
-		_ = p.input.Close()
-		_ = p.command.Process.Kill()
-		<-p.ended
-	}
-	_ = os.RemoveAll(c.directory)
-}
-
 // call sends a JSON request and decodes the answer; a status of 400 or above is an error.
 func (c *Cluster) call(ctx context.Context, method, url string, body, into any) error {
 	text, err := json.Marshal(body)
