Fetch one copy of the documents in the first round

Cause: an instance that starts asked the store and every watcher at once, with nothing known, so that each of them sent all documents. With 12 zones that is 24 watchers: 254 MB a start at 44,000 replicas (24 x 10.6 MB, computed from configuration BenchmarkGet), and 4.6 GB from each watcher when the 433 daemons of a zone start together.

Ruled out: asking fewer watchers; the only one with the newest revision could be among those left out.

Change: the store and one watcher, drawn at random, are asked first. The others are asked once a document is known or after 250 ms, with the revision known, and send documents only if they have a newer one. Every watcher is still asked within the first second.

--- a/internal/configuration/spreader.go
+++ b/internal/configuration/spreader.go
@@ -25,6 +25,9 @@
 	settleTime = time.Second
 	// settleInterval is the time between looks at the plan in the first round.
 	settleInterval = 50 * time.Millisecond
+	// aloneTime bounds how long the first round waits for the store and one peer before it asks the others. With
+	// 24 watchers it would otherwise fetch all documents 25 times.
+	aloneTime = 250 * time.Millisecond
 	// pullInterval is the time between rounds that ask peers, so that a lost notification is made good
 	// well within the 5 s target even if the first peer that is asked does not answer.
 	pullInterval = time.Second
@@ -111,23 +114,42 @@
 	group.Wait()
 }
 
-// firstRound asks the store, and every peer that becomes known within settleTime.
+// firstRound asks the store, and every peer that becomes known within settleTime. The store and one peer come
+// first. The others are asked once one of both has given a document, and then send only what is newer.
 func (s *Spreader) firstRound(ctx context.Context) {
 	var group sync.WaitGroup
+	answered, cancelAnswered := context.WithTimeout(ctx, aloneTime)
+	defer cancelAnswered()
+	noteAnswer := func() {
+		if len(s.holder.Revisions()) > 0 {
+			cancelAnswered()
+		}
+	}
 	group.Go(func() {
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		if documents, err := s.store.Watch(bounded, Prefix, 0, 0); err == nil {
 			s.adoptFromStore(documents)
+			noteAnswer()
 		}
 	})
 	asked := make(map[fleet.InstanceID]bool)
 	for end := time.Now().Add(settleTime); time.Now().Before(end); {
 		plan := s.guide.Plan()
-		for _, peer := range slices.Concat(plan.Near, plan.Far) {
+		sources := slices.Concat(plan.Near, plan.Far)
+		// A random first one spreads the instances of a zone that start together.
+		s.random.Shuffle(len(sources), func(a, b int) { sources[a], sources[b] = sources[b], sources[a] })
+		for _, peer := range sources {
 			if !asked[peer] {
+				first := len(asked) == 0
 				asked[peer] = true
-				group.Go(func() { s.ask(ctx, peer) })
+				group.Go(func() {
+					if !first {
+						<-answered.Done()
+					}
+					s.ask(ctx, peer)
+					noteAnswer()
+				})
 			}
 		}
 		if sleep(ctx, settleInterval) != nil {
