Measure the whole system beside a plain baseline as processes

Decision: two clusters, one of each kind, each with its own stand-in servers, loaded in turn in one run, so that neither disturbs the other. The baseline is a stand-in: round robin, a fixed timeout for each attempt, no hedging, equal static connections for each entry instance, no warm-up. What reached the servers is counted by the servers.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Verbs of the project; README.md shows demo and test, CONTRIBUTING.md the rest.
 GO ?= go
 
-.PHONY: build test lint format demo bench fuzz soak generate
+.PHONY: build test lint format demo bench bench-system fuzz soak generate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -34,3 +34,13 @@
 		seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "seed $$seed"; \
 		MEDLARLATCH_SEED=$$seed $(GO) test -count=1 $$(grep -rl internal/seed --include=main_test.go internal | xargs -n1 dirname | sed 's#^#./#') || exit 1; \
 	done
+
+# medlarlatch beside the baseline as separate processes, about 3 minutes; writes docs/plots.
+bench-system: build
+	bin/standin measure --plots docs/plots
+
+# What stands behind docs/measurements.md, but for bench-system. Packages with benchmarks of processes or of the
+# tail run one at a time.
+bench:
+	$(GO) test -run '^$$' -bench . -benchtime 1x -timeout 20m -p 1 ./internal/query ./internal/standin/...
+	$(GO) test -run '^$$' -bench . -timeout 20m -p 1 ./internal/backend ./internal/replica ./internal/share ./internal/fleet ./internal/catalogue
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -47,7 +47,9 @@
 	Program     string
 	Environment []string
 	// Serve runs entry instances in place of Program's verb entry; its arguments are "serve --settings FILE".
-	Serve        string
+	Serve string
+	// Baseline runs the plain entry instances of internal/standin/baseline in place of the product's.
+	Baseline     bool
 	Seed         uint64
 	Applications []string
 	// Zones holds the zone of each entry instance.
@@ -306,6 +308,12 @@
 func (c *Cluster) settled(ctx context.Context) bool {
 	servers, claimed := 0, 0
 	for n := range c.Entries {
+		if c.Baseline {
+			if !c.Ready(ctx, n) {
+				return false
+			}
+			continue
+		}
 		status, err := c.Status(ctx, n)
 		if err != nil || !status.Ready {
 			return false
@@ -317,5 +325,5 @@
 			}
 		}
 	}
-	return servers > 0 && claimed == servers
+	return c.Baseline || servers > 0 && claimed == servers
 }
--- a/internal/standin/cluster/load.go
+++ b/internal/standin/cluster/load.go
@@ -29,6 +29,9 @@
 	Queries, Whole, Partial, Refused, Failed int
 	Asked, Answered                          int
 	Latencies                                Latencies
+	// Refusals holds the times of refusals; WithRetryAfter counts those that say when to come back.
+	Refusals       Latencies
+	WithRetryAfter int
 	// Reasons counts the refusals of queries, and Missing the shards without an answer, by reason.
 	Reasons, Missing map[verdict.Reason]int
 	// Keys holds the keys of the non-idempotent queries that were answered.
@@ -149,6 +152,10 @@
 		return
 	case answer == nil:
 		outcome.Refused++
+		outcome.Refusals = append(outcome.Refusals, elapsed)
+		if refusal.RetryAfterMillis > 0 {
+			outcome.WithRetryAfter++
+		}
 		outcome.Reasons[refusal.Reason]++
 		outcome.missing(refusal.Coverage)
 		return
@@ -169,9 +176,10 @@
 	}
 }
 
-// send uses a ticket through the client for what must not run twice, and plain HTTP for the rest.
+// send uses a ticket through the client for what must not run twice, and plain HTTP for the rest. The baseline has no
+// tickets.
 func (g *Generator) send(ctx context.Context, name string, number uint64, query api.Query, idempotent bool) (*api.Answer, *api.Refusal, error) {
-	if idempotent {
+	if idempotent || g.cluster.Baseline {
 		return g.cluster.Query(ctx, g.choose(number), name, query)
 	}
 	bounded, cancel := context.WithTimeout(ctx, time.Duration(query.DeadlineMillis)*time.Millisecond)
--- a/internal/standin/cluster/processes.go
+++ b/internal/standin/cluster/processes.go
@@ -23,6 +23,9 @@
 	if c.Serve != "" {
 		program, arguments = c.Serve, []string{"serve", "--settings", e.settings}
 	}
+	if c.Baseline {
+		arguments = []string{"baseline", "--settings", e.settings, "--share", fmt.Sprint(len(c.Entries))}
+	}
 	p, _, err := c.start(program, arguments...)
 	e.process = p
 	return err
--- a/internal/standin/program/program.go
+++ b/internal/standin/program/program.go
@@ -22,7 +22,7 @@
 }
 
 func verbs() []verb {
-	return []verb{allVerb, backendVerb, clusterVerb, demoVerb, entryVerb, instancesVerb, storeVerb}
+	return []verb{allVerb, backendVerb, baselineVerb, clusterVerb, demoVerb, entryVerb, instancesVerb, measureVerb, storeVerb}
 }
 
 // Run runs a command line without the program's name and returns the exit code.
