--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Verbs of the project; README.md shows demo and test, CONTRIBUTING.md the rest.
 GO ?= go
 
-.PHONY: build test lint format demo bench bench-system fuzz soak generate
+.PHONY: build test lint format demo bench bench-capacity bench-system fuzz soak generate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -39,8 +39,16 @@
 bench-system: build
 	bin/standin measure --plots docs/plots
 
-# What stands behind docs/measurements.md, but for bench-system. Packages with benchmarks of processes or of the
-# tail run one at a time.
+# All benchmarks of the repository, then the lines fitted through those that run at several sizes. BENCH_COUNT runs
+# give medians.
+BENCH_COUNT ?= 3
+BENCH_TIME ?= 100ms
 bench:
-	$(GO) test -run '^$$' -bench . -benchtime 1x -timeout 20m -p 1 ./internal/query ./internal/standin/...
-	$(GO) test -run '^$$' -bench . -timeout 20m -p 1 ./internal/backend ./internal/replica ./internal/share ./internal/fleet ./internal/catalogue
+	@out=$$(mktemp); $(GO) test -run '^$$' -bench . -benchtime $(BENCH_TIME) -count $(BENCH_COUNT) -p 1 ./internal/... > $$out; code=$$?; \
+		grep -E '^(Benchmark|pkg:|FAIL|---)' $$out; $(GO) run ./internal/slope < $$out; rm -f $$out; exit $$code
+
+# The benchmarks behind docs/CAPACITY.md.
+CAPACITY = RouteAndClaim|Spread|BenchmarkUpdate|BenchmarkHeartbeat|Listed|BenchmarkDecision|BenchmarkCall|ForwardedPart|InstanceList|EngineUpdate|Catalogue|BenchmarkGet|BenchmarkPlan|InForce|Exchange|Connections|Window|Owned|Adoption
+bench-capacity:
+	@out=$$(mktemp); $(GO) test -run '^$$' -bench '$(CAPACITY)' -benchtime $(BENCH_TIME) -count $(BENCH_COUNT) -p 1 ./internal/... > $$out; code=$$?; \
+		grep -E '^(Benchmark|pkg:|FAIL|---)' $$out; $(GO) run ./internal/slope < $$out; rm -f $$out; exit $$code
