Check the fence again directly before the first byte of a call

replica.Owner checked the fence before Transport.Do, which may then dial or probe for milliseconds. A process paused meanwhile could still write. Call.Permitted is now asked once a connection is ready, before each attempt; when it returns false nothing is written, the connection is kept, and the verdict is the first attempt's. TestFencedWhileConnecting and TestFenceFallsWhileConnecting fail without it.

--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -30,6 +30,9 @@
 	cancelPatience = 100 * time.Millisecond
 )
 
+// errFenced is the outcome of an exchange whose call was no longer permitted before its first byte.
+var errFenced = errors.New("not permitted")
+
 // Options configure a Transport.
 type Options struct {
 	// Connections returns how many connections to the server this process may hold now.
@@ -183,6 +186,10 @@
 	}
 	done := t.roundTrip(ctx, p, server, c, call, call.Deadline.Sub(started))
 	t.counters.written.Add(int64(done.written))
+	if done.err == errFenced {
+		p.put(c, t.options.Connections(server))
+		return replica.Reply{}, verdict.New(verdict.NotRun, verdict.Fenced, "the owner may not send any more"), false
+	}
 	if done.err != nil {
 		p.drop(c)
 		failure := t.judge(ctx, p, &done, started)
@@ -210,7 +217,11 @@
 	length := len(body)
 	request := appendHead(body, "POST", "/v1/shard-query", p.address, length)
 	request = append(request, body[:length]...)
-	done.written, done.err = c.write(request[length:], call.Deadline)
+	if call.Permitted != nil && !call.Permitted() {
+		done.err = errFenced
+	} else {
+		done.written, done.err = c.write(request[length:], call.Deadline)
+	}
 	*scratch = request
 	t.buffers.Put(scratch)
 	if done.err != nil {
--- a/internal/backend/transport_test.go
+++ b/internal/backend/transport_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -222,6 +223,52 @@
 	}
 }
 
+// TestFencedWhileConnecting guards against a write after the fence fell while a connection was opened, and against a
+// "not run" for a call that may have run on its first connection.
+func TestFencedWhileConnecting(t *testing.T) {
+	check := is.New(t)
+	requests := make(chan int, 4)
+	address := closingServer(t, requests)
+	var permitted atomic.Bool
+	dialled := 0
+	transport := New(Options{
+		Connections: func(fleet.Server) int { return 4 },
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			permitted.Store(dialled == 1)
+			dialled++
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		},
+	})
+	defer transport.Close()
+	server := fleet.Server{ID: "s", Service: "svc", Address: address}
+	call := replica.Call{
+		RequestID: "r", Service: "svc", Shard: "x", Version: 1, Query: json.RawMessage(`1`), Idempotent: true,
+		Deadline: time.Now().Add(2 * time.Second), Permitted: permitted.Load,
+	}
+	do := func() (verdict.Verdict, verdict.Reason) {
+		_, err := transport.Do(context.Background(), server, call)
+		failure, ok := errors.AsType[*verdict.Error](err)
+		if !ok {
+			return verdict.Ran, verdict.None
+		}
+		return failure.Verdict, failure.Reason
+	}
+	permitted.Store(true)
+	v, reason := do() // the first dial ends the permission
+	check.Equal(v, verdict.NotRun)
+	check.Equal(reason, verdict.Fenced)
+	check.Equal(len(requests), 0)
+	permitted.Store(true)
+	v, _ = do() // the connection that was not written to is used
+	check.Equal(v, verdict.Ran)
+	check.Equal(dialled, 1)
+	dialled = 2 // the dial for the second attempt ends the permission
+	v, reason = do()
+	check.Equal(v, verdict.MayHaveRun)
+	check.Equal(reason, verdict.Fenced)
+	check.Equal(len(requests), 2)
+}
+
 // closingServer answers the first request of each connection and closes the connection on the second.
 func closingServer(t *testing.T, requests chan<- int) string {
 	t.Helper()
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -188,6 +188,7 @@
 	call := Call{
 		RequestID: o.prefix + fmt.Sprint(o.counter.Add(1)), Service: t.part.Service, Shard: t.part.Shard,
 		Version: t.part.Version, Deadline: t.part.Deadline, Idempotent: t.part.Idempotent, Query: t.part.Query,
+		Permitted: o.Fresh,
 	}
 	server, refusal := o.recheck(g, t)
 	if refusal != nil {
@@ -195,7 +196,7 @@
 		t.deliver(o.refusal(g, t, refusal))
 		return
 	}
-	// Nothing may come between this check and the write: a process that was paused must not send.
+	// The transport repeats this check directly before the write; here it spares a fenced process the connection.
 	if !o.Fresh() {
 		g.release(time.Now(), t)
 		t.deliver(o.refusal(g, t, fenced))
--- a/internal/replica/owner_test.go
+++ b/internal/replica/owner_test.go
@@ -79,11 +79,19 @@
 	catalogue catalogue.Catalogue
 	slots     int
 	stale     bool
-	attempts  uint64
-	results   []query.Result
+	// opening is how long the transport takes to open a connection before it writes.
+	opening  time.Duration
+	attempts uint64
+	results  []query.Result
 }
 
-func (r *rig) Do(ctx context.Context, server fleet.Server, _ Call) (Reply, error) {
+func (r *rig) Do(ctx context.Context, server fleet.Server, call Call) (Reply, error) {
+	if r.opening > 0 {
+		time.Sleep(r.opening)
+		if !call.Permitted() {
+			return Reply{}, verdict.New(verdict.NotRun, verdict.Fenced, "")
+		}
+	}
 	return r.servers[server.ID].serve(ctx)
 }
 
@@ -307,6 +315,21 @@
 	})
 }
 
+// Guards against a write by an owner whose fence fell while its transport opened a connection.
+func TestFenceFallsWhileConnecting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(1, 2)
+		r.opening = 5 * time.Millisecond
+		time.AfterFunc(2*time.Millisecond, func() { r.change(func(r *rig) { r.stale = true }) })
+		r.send("s0", 1, time.Second, nil)
+		time.Sleep(time.Second)
+		is.Equal(r.reasons(), map[verdict.Reason]int{verdict.Fenced: 1})
+		_, calls := r.servers["s0"].seen()
+		is.Equal(calls, 0)
+	})
+}
+
 // Guards against a zone that comes back to servers which were warm before it was taken out: they may have
 // restarted meanwhile, and all of them get load at the same moment.
 func TestReturningZoneIsARamp(t *testing.T) {
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -25,6 +25,10 @@
 	// Idempotent allows sending the call again on another connection.
 	Idempotent bool
 	Query      json.RawMessage
+	// Permitted is asked directly before the first byte is written, also of a second attempt: a connection may
+	// take milliseconds to open or to probe, and a process may be paused meanwhile. When it returns false nothing
+	// is written. Nil permits the write.
+	Permitted func() bool
 }
 
 // Reply is a complete answer that matches its call.
