Let more garbage come together while an entry instance is under load

The live heap is a few megabytes, so at 100 percent a collection started after every few megabytes of garbage and woke all processors. Under load the percentage now allows 24 MB of garbage, and five quiet seconds return it to 100 with the memory given back.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -159,6 +159,7 @@
 	operators := httpapi.NewOperators(reporter{i}, i.telemetry.Handler(), []byte(i.settings.OperatorKey))
 	group.Go(func() { failed <- ignoreClosed(operators.Serve(listeners.operators)) })
 	group.Go(func() { failed <- ignoreClosed(i.node.Serve(listeners.peers)) })
+	group.Go(func() { paceCollector(work) })
 	group.Go(func() { i.followList(work) })
 	group.Go(func() { i.beat(work) })
 	group.Go(func() { i.followConfiguration(work) })
