--- a/cmd/medlarlatch/main.go
+++ b/cmd/medlarlatch/main.go
@@ -1,4 +1,7 @@
 // Command medlarlatch is the query tier and the tool of its operators.
+//
+// It holds nothing but the process's surroundings, which it passes to package command; that package and those below own
+// all state. It never decides anything.
 package main
 
 import (
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,6 @@
 // Command standin runs the stand-ins of the outside systems, and the demo.
+//
+// It holds nothing; package program and those below own all state. The product never imports or starts it.
 package main
 
 import (
--- a/internal/burn/page.go
+++ b/internal/burn/page.go
@@ -38,12 +38,12 @@
 
 type page struct {
 	Report
-	Width, Height, Left, Right, Top, Bottom float64
-	Curves                                  []curve
-	Hours, Levels                           []tick
-	Thresholds                              []tick
-	Missing                                 []shade
-	Detail                                  []detail
+	Width, Height, Left, Right, Top, Bottom, Inner float64
+	Curves                                         []curve
+	Hours, Levels                                  []tick
+	Thresholds                                     []tick
+	Missing                                        []shade
+	Detail                                         []detail
 }
 
 type detail struct {
@@ -56,7 +56,7 @@
 func WritePage(output io.Writer, report Report) error {
 	p := page{
 		Report: report, Width: plotWidth, Height: plotHeight, Left: plotLeft, Right: plotWidth - plotRight, Top: plotTop,
-		Bottom: plotHeight - plotBottom,
+		Bottom: plotHeight - plotBottom, Inner: plotHeight - plotBottom - plotTop,
 	}
 	top := plotFloor
 	series := make(map[Key][]float64)
@@ -182,7 +182,7 @@
 {{range .Gaps}}<li>{{.Instance}} ({{.Zone}}) from {{time .From}} to {{time .To}}: {{.Cause}}</li>
 {{end}}</ul></div>{{end}}
 <svg viewBox="0 0 {{.Width}} {{.Height}}" role="img" aria-label="Burn rate over 5 minutes of each application">
-{{range .Missing}}<rect x="{{.X}}" y="{{$.Top}}" width="{{.Width}}" height="{{$.Bottom}}" fill="#d55e00" fill-opacity="0.08"><title>{{.Label}}</title></rect>
+{{range .Missing}}<rect x="{{.X}}" y="{{$.Top}}" width="{{.Width}}" height="{{$.Inner}}" fill="#d55e00" fill-opacity="0.08"><title>{{.Label}}</title></rect>
 {{end}}{{range .Levels}}<line x1="{{$.Left}}" x2="{{$.Right}}" y1="{{.Y}}" y2="{{.Y}}" stroke="#ddd"/><text x="8" y="{{.Y}}" font-size="11">{{.Label}}</text>
 {{end}}{{range .Thresholds}}<line x1="{{$.Left}}" x2="{{$.Right}}" y1="{{.Y}}" y2="{{.Y}}" stroke="#b00000" stroke-dasharray="6 4"/><text x="{{$.Left}}" y="{{.Y}}" dy="-3" font-size="11" fill="#b00000">pages above {{.Label}}</text>
 {{end}}{{range .Hours}}<text x="{{.X}}" y="{{$.Height}}" dy="-8" font-size="11" text-anchor="middle">{{.Label}}</text>
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -98,7 +98,9 @@
 			line.State, line.Reason, line.Since = "out", verdict.ZoneOut, r.outages.zone(server.Zone)
 		case entries.InstanceOut(fleet.InstanceID(server.ID)):
 			line.State, line.Reason, line.Since = "out", verdict.InstanceOut, r.outages.instance(fleet.InstanceID(server.ID))
-		case server.Leaving:
+		case server.Leaving && line.State != replica.Leaving.String():
+			// The list says so; it does not say since when.
+			line.Since = time.Time{}
 			line.State, line.Reason = replica.Leaving.String(), verdict.Leaving
 		}
 		status.Servers = append(status.Servers, line)
--- a/internal/seed/seed.go
+++ b/internal/seed/seed.go
@@ -1,5 +1,6 @@
 // Package seed gives rapid's generated tests a fixed seed, so that every run of the same code has the
 // same verdict. The variable MEDLARLATCH_SEED sets another one; "make soak" uses new ones and prints them.
+// The package keeps no state beyond the flags that it sets, and the product never imports it.
 package seed
 
 import (
--- a/internal/standin/program/program.go
+++ b/internal/standin/program/program.go
@@ -1,7 +1,7 @@
 // Package program holds the verbs of cmd/standin: the stand-ins as processes, and the demo.
 //
 // A verb runs until its standard input ends or it is interrupted, so that no process stays behind when the one
-// that started it has ended.
+// that started it has ended. The package keeps no state between runs.
 package program
 
 import (
