Add make fuzz

Cause: CONTRIBUTING.md names the command and the Makefile did not have it.

Ruled out: stopping at the first failure, which would hide the others.

Change: every fuzz target of the repository runs for FUZZTIME, 10 s each.

Conclusion: 10 s a target finds only shallow faults; a longer FUZZTIME is for soak runs.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,12 @@
 		seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "seed $$seed"; \
 		MEDLARLATCH_SEED=$$seed $(GO) test -count=1 $$(grep -rl internal/seed --include=main_test.go internal | xargs -n1 dirname | sed 's#^#./#') || exit 1; \
 	done
+
+# Every fuzz target for FUZZTIME each, one after the other. All of them run, also after a failure, whose input is
+# printed and kept in the package's testdata/fuzz.
+FUZZTIME ?= 10s
+fuzz:
+	@failed=0; for target in $$(grep -rHoE '^func Fuzz[A-Za-z0-9_]+' --include='*_test.go' cmd internal pkg | sed 's/:func /:/' | sort); do \
+		package=./$$(dirname $${target%%:*}); name=$${target##*:}; echo "$$package $$name"; \
+		$(GO) test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZTIME) $$package || failed=1; \
+	done; exit $$failed
