--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Verbs of the project; README.md shows demo and test, CONTRIBUTING.md the rest.
 GO ?= go
 
-.PHONY: build test lint format demo bench fuzz soak generate
+.PHONY: build test lint format demo bench bench-capacity fuzz soak generate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -24,7 +24,7 @@
 
 # Both deployments on loopback with faults; ends by itself within 45 s and leaves no process behind.
 demo: build
-	bin/standin demo
+	bin/standin demo --serve bin/medlarlatch
 
 # New seeds for the generated tests, until SOAK has passed; prints each seed, so that a failure can be
 # repeated with MEDLARLATCH_SEED=N make test.
@@ -43,3 +43,17 @@
 		package=./$$(dirname $${target%%:*}); name=$${target##*:}; echo "$$package $$name"; \
 		$(GO) test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZTIME) $$package || failed=1; \
 	done; exit $$failed
+
+# All benchmarks of the repository, then the lines fitted through those that run at several sizes. BENCH_COUNT runs
+# give medians.
+BENCH_COUNT ?= 3
+BENCH_TIME ?= 100ms
+bench:
+	@out=$$(mktemp); $(GO) test -run '^$$' -bench . -benchtime $(BENCH_TIME) -count $(BENCH_COUNT) -p 1 ./internal/... > $$out; code=$$?; \
+		grep -E '^(Benchmark|pkg:|FAIL|---)' $$out; $(GO) run ./internal/slope < $$out; rm -f $$out; exit $$code
+
+# The benchmarks behind docs/CAPACITY.md.
+CAPACITY = RouteAndClaim|Spread|BenchmarkUpdate|BenchmarkHeartbeat|Listed|BenchmarkDecision|BenchmarkCall|ForwardedPart|InstanceList|EngineUpdate|Catalogue|BenchmarkGet|BenchmarkPlan|InForce|Exchange|Connections|Window|Owned|Adoption
+bench-capacity:
+	@out=$$(mktemp); $(GO) test -run '^$$' -bench '$(CAPACITY)' -benchtime $(BENCH_TIME) -count $(BENCH_COUNT) -p 1 ./internal/... > $$out; code=$$?; \
+		grep -E '^(Benchmark|pkg:|FAIL|---)' $$out; $(GO) run ./internal/slope < $$out; rm -f $$out; exit $$code
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -72,7 +72,7 @@
 
 	listed  atomic.Bool // the instance list has been read once
 	leaving atomic.Bool
-	// peerRevisions holds the highest revision that each peer has said it has.
+	// peerRevisions holds what each peer last said of its highest revision.
 	peerRevisions sync.Map
 }
 
@@ -97,7 +97,7 @@
 	}
 	i.holder = configuration.NewHolder(checkIndex)
 	self := fleet.Entry{ID: s.Instance, Zone: s.Zone, Region: s.Region, Peers: s.Peers, Operators: s.Operators}
-	i.members = newMembers(self, i.limits)
+	i.members = newMembers(self)
 	i.transport = backend.New(backend.Options{Connections: func(server fleet.Server) int {
 		_, connections, _ := i.members.table.Load().Claim(server.ID)
 		return connections
@@ -212,8 +212,3 @@
 	}
 	return catalogue.Catalogue{}
 }
-
-func (i *Instance) limits(id fleet.ServiceID) (slots, connections int) {
-	entry, _ := i.catalogue().Service(id)
-	return entry.Slots, entry.Connections
-}
