--- a/internal/standin/schedule/checks_test.go
+++ b/internal/standin/schedule/checks_test.go
@@ -32,7 +32,7 @@
 			slots, first = 2*seen.Slots, 2
 		}
 		if seen.PeakInFlight > slots {
-			r.breach("(e) %s: %d requests in flight with %d slots", id, seen.PeakInFlight, seen.Slots)
+			r.breach("(e) %s: %d requests in flight with %d slots: %q", id, seen.PeakInFlight, seen.Slots, seen.Over)
 		} else if seen.PeakInFlight > seen.Slots {
 			allowance++
 		}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -57,8 +57,12 @@
 
 type execution struct {
 	cancel context.CancelFunc
+	begun  time.Time
 }
 
+// keptOver bounds the lines of Observations.Over.
+const keptOver = 3
+
 // Observations count what reached a server.
 type Observations struct {
 	Queries         int64 `json:"queries"`
@@ -76,6 +80,8 @@
 	// PeakUnanswered is the most requests in flight between a restart after which connections were lost and the
 	// first answer.
 	PeakUnanswered int `json:"peak-unanswered"`
+	// Over says of the first requests above the slots what was in flight, with the age of each.
+	Over []string `json:"over,omitempty"`
 	// Slots and Limit repeat the server's limits beside the peaks.
 	Slots int `json:"slots"`
 	Limit int `json:"connection-limit"`
@@ -202,13 +208,26 @@
 	case s.inFlight >= s.options.Application.Slots:
 		s.seen.OverSlots++
 		s.seen.Shed++
+		s.noteOver(id)
 		return "shedding", false
 	}
 	s.inFlight++
-	s.running[id] = &execution{cancel: cancel}
+	s.running[id] = &execution{cancel: cancel, begun: time.Now()}
 	return "", false
 }
 
+// noteOver tells in which order the requests came and how old they were; request ids name the owner.
+func (s *Server) noteOver(id string) {
+	if len(s.seen.Over) == keptOver {
+		return
+	}
+	line := id + " came to"
+	for other, running := range s.running {
+		line += fmt.Sprintf(" %s of %s", other, time.Since(running.begun))
+	}
+	s.seen.Over = append(s.seen.Over, line)
+}
+
 func (s *Server) end(id string, ran bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
