Prove by processes that the burn report counts every query once

Cause: the counts were proved on fake time only; nothing held the wiring to the queries that callers saw.

Ruled out: comparing latencies, which differ between the caller and the entry instance.

--- a/internal/standin/cluster/operate.go
+++ b/internal/standin/cluster/operate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/medlarlatch/medlarlatch/internal/burn"
 	"github.com/medlarlatch/medlarlatch/internal/platform"
 )
 
@@ -25,3 +26,10 @@
 	}
 	return c.call(ctx, "PUT", "http://"+c.addresses.Instances+"/control/instances", listed, nil)
 }
+
+// Burn returns an entry instance's counts for the burn report.
+func (c *Cluster) Burn(ctx context.Context, n int) (burn.Snapshot, error) {
+	var snapshot burn.Snapshot
+	err := c.call(ctx, "GET", "http://"+c.Entries[n].operators+"/v1/burn", nil, &snapshot)
+	return snapshot, err
+}
