--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Verbs of the project; README.md shows demo and test, CONTRIBUTING.md the rest.
 GO ?= go
 
-.PHONY: build test lint format demo bench bench-capacity fuzz soak generate
+.PHONY: build test lint format demo bench bench-capacity bench-system fuzz soak generate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -35,6 +35,10 @@
 		MEDLARLATCH_SEED=$$seed $(GO) test -count=1 $$(grep -rl internal/seed --include=main_test.go internal | xargs -n1 dirname | sed 's#^#./#') || exit 1; \
 	done
 
+# medlarlatch beside the baseline as separate processes, about 3 minutes; writes docs/plots.
+bench-system: build
+	bin/standin measure --plots docs/plots
+
 # Every fuzz target for FUZZTIME each, one after the other. All of them run, also after a failure, whose input is
 # printed and kept in the package's testdata/fuzz.
 FUZZTIME ?= 10s
--- a/internal/replica/owner_test.go
+++ b/internal/replica/owner_test.go
@@ -79,11 +79,19 @@
 	catalogue catalogue.Catalogue
 	slots     int
 	stale     bool
-	attempts  uint64
-	results   []query.Result
+	// opening is how long the transport takes to open a connection before it writes.
+	opening  time.Duration
+	attempts uint64
+	results  []query.Result
 }
 
-func (r *rig) Do(ctx context.Context, server fleet.Server, _ Call) (Reply, error) {
+func (r *rig) Do(ctx context.Context, server fleet.Server, call Call) (Reply, error) {
+	if r.opening > 0 {
+		time.Sleep(r.opening)
+		if !call.Permitted() {
+			return Reply{}, verdict.New(verdict.NotRun, verdict.Fenced, "")
+		}
+	}
 	return r.servers[server.ID].serve(ctx)
 }
 
@@ -255,6 +263,38 @@
 	}
 }
 
+// Guards against a full load on a server that was started again while nothing was sent to it, where its state
+// endpoint has said nothing.
+func TestIdleServerIsTriedAlone(t *testing.T) {
+	tests := map[string]struct {
+		idle time.Duration
+		peak int
+	}{
+		"answered just now": {20 * time.Millisecond, 4},
+		"idle":              {2 * time.Second, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRig(1, 4)
+				r.warm("s0")
+				time.Sleep(test.idle)
+				server := r.servers["s0"]
+				server.set(func(*backend) {})
+				r.send("s0", 8, time.Second, nil)
+				time.Sleep(9 * time.Millisecond)
+				peak, _ := server.seen()
+				is.Equal(peak, test.peak)
+				time.Sleep(6 * time.Millisecond)
+				peak, _ = server.seen()
+				is.Equal(peak, 4) // the answer shows that the process is the same
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // Guards against new work for a server that leaves or that operators have taken out, including parts
 // that were queued before.
 func TestNoPartForServersThatAreOutOrLeaving(t *testing.T) {
@@ -307,6 +347,21 @@
 	})
 }
 
+// Guards against a write by an owner whose fence fell while its transport opened a connection.
+func TestFenceFallsWhileConnecting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(1, 2)
+		r.opening = 5 * time.Millisecond
+		time.AfterFunc(2*time.Millisecond, func() { r.change(func(r *rig) { r.stale = true }) })
+		r.send("s0", 1, time.Second, nil)
+		time.Sleep(time.Second)
+		is.Equal(r.reasons(), map[verdict.Reason]int{verdict.Fenced: 1})
+		_, calls := r.servers["s0"].seen()
+		is.Equal(calls, 0)
+	})
+}
+
 // Guards against a zone that comes back to servers which were warm before it was taken out: they may have
 // restarted meanwhile, and all of them get load at the same moment.
 func TestReturningZoneIsARamp(t *testing.T) {
