--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -93,12 +93,8 @@
 				r.Record(c.outcome)
 				lines := report(r)
 				for service, want := range map[string][2]int64{"": c.whole, "one": c.one, "two": c.two} {
-					var got [2]int64
-					for _, b := range lines[Key{"search", service}].Buckets {
-						got[0] += b.Good
-						got[1] += b.Bad
-					}
-					is.Equal(got, want) // counts of the service
+					line := lines[Key{"search", service}]
+					is.Equal([2]int64{line.Good(), line.Bad()}, want) // counts of the service
 				}
 				if c.spender.Count > 0 {
 					is.Equal(lines[Key{"search", ""}].Spenders, []Spender{c.spender})
