--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Verbs of the project; README.md shows demo and test, CONTRIBUTING.md the rest.
 GO ?= go
 
-.PHONY: build test lint format demo bench bench-capacity fuzz soak generate
+.PHONY: build test lint format demo bench bench-capacity bench-system fuzz soak generate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -35,6 +35,19 @@
 		MEDLARLATCH_SEED=$$seed $(GO) test -count=1 $$(grep -rl internal/seed --include=main_test.go internal | xargs -n1 dirname | sed 's#^#./#') || exit 1; \
 	done
 
+# medlarlatch beside the baseline as separate processes, about 3 minutes; writes docs/plots.
+bench-system: build
+	bin/standin measure --plots docs/plots
+
+# Every fuzz target for FUZZTIME each, one after the other. All of them run, also after a failure, whose input is
+# printed and kept in the package's testdata/fuzz.
+FUZZTIME ?= 10s
+fuzz:
+	@failed=0; for target in $$(grep -rHoE '^func Fuzz[A-Za-z0-9_]+' --include='*_test.go' cmd internal pkg | sed 's/:func /:/' | sort); do \
+		package=./$$(dirname $${target%%:*}); name=$${target##*:}; echo "$$package $$name"; \
+		$(GO) test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZTIME) $$package || failed=1; \
+	done; exit $$failed
+
 # All benchmarks of the repository, then the lines fitted through those that run at several sizes. BENCH_COUNT runs
 # give medians.
 BENCH_COUNT ?= 3
