Keep the slot of a call past its deadline until the server has answered

Cause: the slot of a call that timed out was free at the deadline. The server counts its deadline from the arrival of the request, so it was still working when the next request came. Cancelled calls already waited up to 100 ms for the server's answer; calls that timed out did not.

Ruled out: two owners (in each case all requests in flight had the id prefix of one owner, and its zone was not cut) and the handover.

Change: a call whose deadline has passed waits like a cancelled one, up to 100 ms; its connection stays open if the server answers in that time. The coordinator composes its answer at its own deadline as before.

--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -26,7 +26,9 @@
 	// checkAfter is the idle time after which a connection is looked at before reuse. A backend server closes a
 	// connection when it ends or after its idle timeout, hardly within the microseconds between two calls.
 	checkAfter = 20 * time.Millisecond
-	// cancelPatience is how long a cancelled call may still answer before its connection is closed.
+	// cancelPatience is how long a call that was cancelled, or whose deadline has passed, may still answer before its
+	// connection is closed. The server counts the deadline from the arrival of the request, which is later than the
+	// sending, and may be late itself; until it has answered it still uses the slot.
 	cancelPatience = 100 * time.Millisecond
 )
 
@@ -91,8 +93,8 @@
 }
 
 // Do sends the call and waits for its answer. Next to an error the reply holds what the server said of
-// itself. When ctx ends, the server is asked to cancel, and Do returns once it has answered or after 100 ms:
-// until then the server may still be working on the call.
+// itself. When ctx ends or the deadline passes, Do returns once the server has answered or after 100 ms: until then
+// the server may still be working on the call. The end of ctx also asks the server to cancel.
 func (t *Transport) Do(ctx context.Context, server fleet.Server, call replica.Call) (replica.Reply, error) {
 	t.counters.calls.Add(1)
 	if ctx.Err() != nil {
@@ -224,6 +226,9 @@
 	}
 	*scratch = request
 	t.buffers.Put(scratch)
+	if done.err == nil {
+		done.err = c.SetReadDeadline(call.Deadline.Add(cancelPatience))
+	}
 	if done.err != nil {
 		return done
 	}
