Draw also a divided zone and a store that lags, with bursts

Bursts of 12 fan-out queries fill the slots in each episode and meet a server that was started again; without them the schedules did not see a ramp that was switched off. Two kinds of fault are new: the two instances of a zone cut from each other (the division of slots) and a store that answers from an older state (the order of revisions).

The stand-in ends an execution at its deadline or cancellation also where its process is late to notice, and says how late it was: on a machine with a load of 60 it read requests 240 ms after they were sent. Where it was later than the 100 ms that an owner waits, more in flight than the slots is printed as not judged.

--- a/internal/standin/cluster/network.go
+++ b/internal/standin/cluster/network.go
@@ -122,6 +122,15 @@
 	}
 }
 
+// SetLinks sets the links between two entry instances by the direction of the bytes: from the first to the second,
+// and back.
+func (c *Cluster) SetLinks(first, second string, there, back relay.State) {
+	c.network.mutex.Lock()
+	defer c.network.mutex.Unlock()
+	c.network.links[way{first, second}].Set(there, back)
+	c.network.links[way{second, first}].Set(back, there)
+}
+
 // SetPlatformLinks sets the links from the entry instances of a zone to the store and the instance list.
 func (c *Cluster) SetPlatformLinks(zone string, state relay.State) {
 	c.network.mutex.Lock()
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -76,12 +77,15 @@
 	ledger  *Ledger
 	control net.Listener
 	http    *http.Server
+	stall   atomic.Int64
+	ended   chan struct{}
 }
 
 // NewHost starts the servers. The replicas of a service are spread over the zones, beginning with another zone
 // for each service.
 func NewHost(options HostOptions) (*Host, error) {
-	h := &Host{servers: make(map[string]*Server), ledger: NewLedger()}
+	h := &Host{servers: make(map[string]*Server), ledger: NewLedger(), ended: make(chan struct{})}
+	go h.watchStalls()
 	for _, application := range options.Applications {
 		for number := 1; number <= application.Services; number++ {
 			for replica := range application.Replicas {
@@ -128,6 +132,7 @@
 
 // Close ends all servers.
 func (h *Host) Close() {
+	close(h.ended)
 	if h.http != nil {
 		_ = h.http.Close()
 	}
@@ -136,17 +141,36 @@
 	}
 }
 
+// watchStalls measures how late this process is.
+func (h *Host) watchStalls() {
+	const period = 10 * time.Millisecond
+	for {
+		begun := time.Now()
+		select {
+		case <-h.ended:
+			return
+		case <-time.After(period):
+		}
+		if late := (time.Since(begun) - period).Milliseconds(); late > h.stall.Load() {
+			h.stall.Store(late)
+		}
+	}
+}
+
 // Report is what the control endpoint tells of all servers.
 type Report struct {
 	Servers map[string]Observations `json:"servers"`
 	Effects Effects                 `json:"effects"`
+	// StallMillis is the longest time since the last reset by which this process was late to do anything. A server
+	// of it can then be late to read a request or to notice its end.
+	StallMillis int64 `json:"stall-millis"`
 }
 
 // Handler serves the control endpoint: GET /control, POST /control/reset and POST /control/SERVER with faults.
 func (h *Host) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /control", func(w http.ResponseWriter, _ *http.Request) {
-		report := Report{Servers: make(map[string]Observations, len(h.order)), Effects: h.ledger.Effects()}
+		report := Report{Servers: make(map[string]Observations, len(h.order)), Effects: h.ledger.Effects(), StallMillis: h.stall.Load()}
 		for _, server := range h.order {
 			report.Servers[server.options.ID] = server.Observed()
 		}
@@ -156,6 +180,7 @@
 		writeJSON(w, http.StatusOK, h.ledger.All())
 	})
 	mux.HandleFunc("POST /control/reset", func(w http.ResponseWriter, _ *http.Request) {
+		h.stall.Store(0)
 		for _, server := range h.order {
 			server.ResetObserved()
 		}
--- a/internal/standin/protocol.go
+++ b/internal/standin/protocol.go
@@ -66,7 +66,8 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(asked.DeadlineMillis)*time.Millisecond)
 	defer cancel()
-	refusal, crash := s.begin(faults, asked.RequestID, cancel)
+	deadline, _ := ctx.Deadline()
+	refusal, crash := s.begin(faults, asked.RequestID, deadline, cancel)
 	if crash {
 		s.crash()
 		panic(http.ErrAbortHandler)
@@ -166,6 +167,9 @@
 	}
 	s.mutex.Lock()
 	found := s.running[asked.RequestID]
+	if found != nil {
+		found.cancelled = true
+	}
 	s.mutex.Unlock()
 	if found != nil {
 		found.cancel()
--- a/internal/standin/schedule/load_test.go
+++ b/internal/standin/schedule/load_test.go
@@ -20,6 +20,8 @@
 	queriesPerSecond  = 15
 	ticketedPerSecond = 10
 	plainPerSecond    = 5
+	// bursts is the number of fan-out queries that begin at once in each episode.
+	bursts = 12
 	// loadBound ends the load in any case.
 	loadBound = 150 * time.Second
 
@@ -157,6 +159,19 @@
 	}
 }
 
+// burst sends queries at once and returns when all have ended.
+func (l *load) burst(count int) {
+	var group sync.WaitGroup
+	for range count {
+		l.mutex.Lock()
+		l.number++
+		number := l.number
+		l.mutex.Unlock()
+		group.Go(func() { l.query(context.Background(), number) })
+	}
+	group.Wait()
+}
+
 // probe asks an instance and tells whether its answer was whole.
 func (l *load) probe(ctx context.Context, n int) bool {
 	l.mutex.Lock()
