Keep a slot until the server has ended a call past its deadline

The transport returned at the call's deadline, and the owner used the slot again; the server counts its own deadline from when the request arrived and was still working.

Change: as after a cancellation, the server has 100 ms to answer a call that is past its deadline before the connection is closed; the slot is kept so long, also over a handover. The query is not held up: it is composed at its own deadline. The new test fails without the change at the second call.

--- a/internal/backend/cancel.go
+++ b/internal/backend/cancel.go
@@ -26,7 +26,7 @@
 func (t *Transport) cancel(p *pool, server fleet.Server, waiting *conn, call *replica.Call, shortened chan<- struct{}) {
 	t.counters.cancels.Add(1)
 	latest := time.Now().Add(cancelPatience)
-	if latest.Before(call.Deadline) {
+	if latest.Before(call.Deadline.Add(cancelPatience)) {
 		_ = waiting.SetReadDeadline(latest)
 	}
 	close(shortened)
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -26,7 +26,9 @@
 	// checkAfter is the idle time after which a connection is looked at before reuse. A backend server closes a
 	// connection when it ends or after its idle timeout, hardly within the microseconds between two calls.
 	checkAfter = 20 * time.Millisecond
-	// cancelPatience is how long a cancelled call may still answer before its connection is closed.
+	// cancelPatience is how long a cancelled call, or one past its deadline, may still answer before its connection is
+	// closed. The server may be working on the call until it says otherwise, so its slot is kept that long: the
+	// server counts its deadline from a later moment, and had one request above its slots without this.
 	cancelPatience = 100 * time.Millisecond
 )
 
@@ -216,6 +218,7 @@
 	if done.err != nil {
 		return done
 	}
+	_ = c.SetReadDeadline(call.Deadline.Add(cancelPatience))
 	if ctx.Done() != nil {
 		shortened := make(chan struct{})
 		stop := context.AfterFunc(ctx, func() { t.cancel(p, server, c, call, shortened) })
--- a/internal/backend/transport_test.go
+++ b/internal/backend/transport_test.go
@@ -269,3 +269,16 @@
 		}
 	})
 }
+
+// TestDeadlineKeepsSlot guards against a slot that is free again while the server still works on a call whose deadline
+// has passed: the next call was then one more than the server's slots.
+func TestDeadlineKeepsSlot(t *testing.T) {
+	check := is.New(t)
+	f := newFixture(t, true, 30)
+	check.NoErr(f.stand.Change([]byte(`{"slow-factor":1000}`)))
+	for n := range 10 {
+		_, failure := f.do("too slow", 30*time.Millisecond)
+		check.True(failure != nil)
+		check.Equal(f.stand.Observed().Cancelled, int64(n+1))
+	}
+}
--- a/internal/replica/handover.go
+++ b/internal/replica/handover.go
@@ -11,6 +11,9 @@
 // delay and a few heartbeat rounds.
 const adoptionHold = 5 * time.Second
 
+// endingTime is how long after its deadline the transport may keep a call that the server may still work on.
+const endingTime = 100 * time.Millisecond
+
 // Handover returns the state of servers that another instance takes over. The caller has given up its
 // claim before, so that nothing is sent after the state was read.
 func (o *Owner) Handover(servers []fleet.ServerID) []Handed {
@@ -36,7 +39,7 @@
 	}
 	for _, t := range g.tasks {
 		if !t.queued {
-			h.Until = max(h.Until, t.part.Deadline.Sub(now))
+			h.Until = max(h.Until, t.part.Deadline.Add(endingTime).Sub(now))
 		}
 	}
 	return h
