Admit by application, and see overload behind partial answers

Cause: goodput collapsed in the whole system. The entry instance had its own mapping of outcomes, which took a coverage below the floor as a failure that says nothing about load; partial answers counted as completed; the bound of 64 queries for an instance came down by a tenth per 32 queries and not below 8, while few slots bear about 4.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -21,15 +21,18 @@
 }
 
 // DefaultLimits returns limits for an entry instance of the current deployments.
-func DefaultLimits() Limits { return Limits{Min: 8, Initial: 64, Max: 4096} }
+func DefaultLimits() Limits { return Limits{Min: 2, Initial: 64, Max: 4096} }
 
 const (
 	// tolerance is the latency over the unloaded latency up to which the bound may grow.
 	tolerance = 2.0
 	// window is the least number of ended queries between two changes of the bound.
 	window = 32
-	// backoff shrinks the bound when backend servers refuse work as overloaded.
+	// backoff shrinks the bound when backend servers refuse work as overloaded, and halfAll by how much when every
+	// query of a window was: at 0.9 a bound of 64 took 24 windows to come down to what few slots bear, and
+	// all answers were late meanwhile.
 	backoff = 0.9
+	halfAll = 0.5
 	// probeInterval is how often the unloaded latency is measured again under lasting load, and
 	// probeShare the share of the bound at which it is. The tolerated latency is twice the unloaded one,
 	// so that a quarter of the bound leaves no queue.
@@ -64,22 +67,23 @@
 	Failed
 )
 
-// OutcomeOf tells how an admitted query ended by its refusal, nil for an answer.
-func OutcomeOf(refusal *api.Refusal) Outcome {
-	if refusal == nil {
-		return Completed
-	}
-	if overloaded(refusal.Reason) {
+// OutcomeOf tells how an admitted query ended by its coverage, if it was sent to servers, and its refusal, nil for an
+// answer. Overload also hides behind a coverage below the floor and behind partial answers.
+func OutcomeOf(coverage *api.Coverage, refusal *api.Refusal) Outcome {
+	if refusal != nil && overloaded(refusal.Reason) {
 		return Overloaded
 	}
-	if refusal.Coverage != nil {
-		for _, missing := range refusal.Coverage.Missing {
+	if coverage != nil {
+		for _, missing := range coverage.Missing {
 			if overloaded(missing.Reason) {
 				return Overloaded
 			}
 		}
 	}
-	return Failed
+	if refusal != nil {
+		return Failed
+	}
+	return Completed
 }
 
 func overloaded(reason verdict.Reason) bool {
@@ -101,7 +105,7 @@
 	typical  float64 // smoothed latency in nanoseconds
 	total    float64 // sum of the latencies in the window
 	ended    int
-	overload bool
+	overload int // overloaded queries in the window
 	full     bool
 	// probing is set while the unloaded latency is measured; probeFrom is when the queries of the
 	// larger bound had drained, zero before.
@@ -123,6 +127,7 @@
 // Permit is the right to run one query; end it with Done.
 type Permit struct {
 	limiter *Limiter
+	group   *Group
 	started time.Time
 	once    sync.Once
 }
@@ -169,9 +174,21 @@
 	return verdict.New(verdict.NotRun, verdict.Overloaded, format, args...).WithRetryAfter(after)
 }
 
+// overfull is the refusal for a bound that this limiter does not know.
+func (l *Limiter) overfull() *verdict.Error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.refuse("too many queries of this class in progress")
+}
+
 // Done ends the query. Calls after the first do nothing.
 func (p *Permit) Done(outcome Outcome) {
-	p.once.Do(func() { p.limiter.end(p.started, time.Now(), outcome) })
+	p.once.Do(func() {
+		p.limiter.end(p.started, time.Now(), outcome)
+		if p.group != nil {
+			p.group.leave()
+		}
+	})
 }
 
 func (l *Limiter) end(started, now time.Time, outcome Outcome) {
@@ -189,12 +206,14 @@
 	if l.probing && !l.drained(started, now) {
 		return
 	}
-	l.overload = l.overload || outcome == Overloaded
+	if outcome == Overloaded {
+		l.overload++
+	}
 	l.total += took
 	l.ended++
 	switch {
 	case l.probing && l.ended >= window:
-		if !l.overload {
+		if l.overload == 0 {
 			l.baseline = l.total / float64(l.ended)
 		}
 		l.probing, l.probed = false, now
@@ -221,7 +240,7 @@
 func (l *Limiter) adapt(now time.Time) {
 	observed := l.total / float64(l.ended)
 	switch {
-	case l.overload:
+	case l.overload > 0:
 		// Latency under overload says nothing about the unloaded one.
 	case l.baseline == 0:
 		l.baseline = observed
@@ -231,8 +250,9 @@
 	case !l.full:
 		l.baseline += (observed - l.baseline) / 8
 	}
-	if l.overload {
-		l.bound *= backoff
+	if l.overload > 0 {
+		share := float64(l.overload) / float64(l.ended)
+		l.bound *= min(backoff, 1-halfAll*share)
 	} else {
 		gradient := min(1, max(0.5, tolerance*l.baseline/max(observed, 1)))
 		next := l.bound*gradient + math.Sqrt(l.bound)
@@ -251,7 +271,7 @@
 }
 
 func (l *Limiter) reset() {
-	l.total, l.ended, l.overload, l.full = 0, 0, false, false
+	l.total, l.ended, l.overload, l.full = 0, 0, 0, false
 }
 
 // State is what the limiter shows to operators.
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/medlarlatch/medlarlatch/internal/catalogue"
+	"github.com/medlarlatch/medlarlatch/pkg/api"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
@@ -132,3 +133,47 @@
 		is.Equal(err.Reason, verdict.DeadlinePassed)
 	})
 }
+
+// Guards against overload that hides behind a coverage below the floor or behind a partial answer: the bound then
+// stays where every answer is late.
+func TestOutcomeOf(t *testing.T) {
+	short := func(reason verdict.Reason) *api.Coverage {
+		return &api.Coverage{Asked: 2, Answered: 1, Missing: []api.Missing{{Shard: "a", Reason: reason}}}
+	}
+	cases := map[string]struct {
+		coverage *api.Coverage
+		refusal  *api.Refusal
+		want     Outcome
+	}{
+		"answer":             {&api.Coverage{Asked: 1, Answered: 1}, nil, Completed},
+		"partial, late":      {short(verdict.DeadlinePassed), nil, Overloaded},
+		"partial, lost":      {short(verdict.ConnectFailed), nil, Completed},
+		"below floor, full":  {short(verdict.Overloaded), &api.Refusal{Reason: verdict.CoverageBelowFloor}, Overloaded},
+		"below floor, lost":  {short(verdict.ConnectFailed), &api.Refusal{Reason: verdict.CoverageBelowFloor}, Failed},
+		"shedding":           {nil, &api.Refusal{Reason: verdict.Shedding}, Overloaded},
+		"no snapshot at all": {nil, &api.Refusal{Reason: verdict.NoSnapshot}, Failed},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(OutcomeOf(c.coverage, c.refusal), c.want) })
+	}
+}
+
+// Guards against an application whose overload takes the room of another with servers of its own.
+func TestApplicationsAreApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		group := NewGroup(Limits{Min: 2, Initial: 2, Max: 2})
+		deadline := time.Now().Add(time.Second)
+		for range 2 {
+			_, refusal := group.Admit("busy", catalogue.Interactive, deadline)
+			is.True(refusal == nil)
+		}
+		_, refusal := group.Admit("busy", catalogue.Interactive, deadline)
+		is.Equal(refusal.Reason, verdict.Overloaded)
+		permit, refusal := group.Admit("idle", catalogue.Batch, deadline)
+		is.True(refusal == nil)
+		is.Equal(group.State().InFlight, 3)
+		permit.Done(Completed)
+		is.Equal(group.State().InFlight, 2)
+	})
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,7 +61,7 @@
 	node      *peer.Node
 	engine    *query.Engine
 	holdings  *snapshot.Holdings
-	admission *admission.Limiter
+	admission *admission.Group
 	runner    *ticket.Runner
 	tickets   *ticket.Router
 	parts     *parts
@@ -113,7 +113,7 @@
 		return nil, err
 	}
 	i.engine = query.New(s.Zone, sender{i}, i.members, i.holdings, s.Seed)
-	i.admission = admission.New(admission.DefaultLimits())
+	i.admission = admission.NewGroup(admission.DefaultLimits())
 	i.tickets = ticket.NewRouter(i.runner, i.node, i.executeTicket)
 	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(s.Seed, stream)) }
 	i.store = platform.NewStore(s.Store, platform.Options{Timeout: s.Timeout, Random: random(1)})
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -67,12 +67,19 @@
 			Detail: "no configuration or no instance list yet", RetryAfterMillis: notReadyRetry.Milliseconds(),
 		}
 	}
+	application := catalogue.ApplicationID(request.Application)
+	services := view.Catalogue.Application(application)
+	if len(services) == 0 {
+		return nil, &api.Refusal{
+			ID: request.Query.ID, Verdict: verdict.NotRun, Reason: verdict.UnknownApplication,
+			Detail: "no application " + request.Application,
+		}
+	}
 	class := catalogue.Interactive
-	if services := view.Catalogue.Application(catalogue.ApplicationID(request.Application)); len(services) > 0 {
-		entry, _ := view.Catalogue.Service(services[0])
+	if entry, ok := view.Catalogue.Service(services[0]); ok {
 		class = entry.Class
 	}
-	permit, failure := i.admission.Admit(class, request.Deadline)
+	permit, failure := i.admission.Admit(application, class, request.Deadline)
 	if failure != nil {
 		return nil, &api.Refusal{
 			ID: request.Query.ID, Verdict: failure.Verdict, Reason: failure.Reason, Detail: failure.Detail,
@@ -84,13 +91,14 @@
 		shards[n] = snapshot.ShardID(shard)
 	}
 	answer, refusal := i.engine.Run(ctx, query.Request{
-		Application: catalogue.ApplicationID(request.Application), ID: request.Query.ID, Deadline: request.Deadline,
+		Application: application, ID: request.Query.ID, Deadline: request.Deadline,
 		Query: request.Query.Query, Shards: shards, AtMostOnce: once,
 	})
-	permit.Done(outcomeOf(refusal))
 	if refusal != nil {
+		permit.Done(admission.OutcomeOf(refusal.Coverage, refusal))
 		return nil, refusal
 	}
+	permit.Done(admission.OutcomeOf(&answer.Coverage, nil))
 	answered(ctx, &answer)
 	body, err := json.Marshal(answer)
 	if err != nil {
@@ -99,17 +107,6 @@
 	return body, nil
 }
 
-func outcomeOf(refusal *api.Refusal) admission.Outcome {
-	switch {
-	case refusal == nil:
-		return admission.Completed
-	case refusal.Reason == verdict.Overloaded || refusal.Reason == verdict.DeadlinePassed:
-		return admission.Overloaded
-	default:
-		return admission.Failed
-	}
-}
-
 // executeTicket runs a ticketed request as this instance's own query.
 func (i *Instance) executeTicket(ctx context.Context, call ticket.Call) ticket.Outcome {
 	parsed, refusal := httpapi.ParseQuery(call.Body)
--- a/internal/standin/cluster/load.go
+++ b/internal/standin/cluster/load.go
@@ -186,7 +186,9 @@
 	defer cancel()
 	answer, err := g.client.Query(bounded, client.Request{Application: name, ID: query.ID, Query: query.Query})
 	if failure, ok := errors.AsType[*verdict.Error](err); ok {
-		return nil, &api.Refusal{Verdict: failure.Verdict, Reason: failure.Reason, Detail: failure.Detail}, nil
+		return nil, &api.Refusal{
+			Verdict: failure.Verdict, Reason: failure.Reason, Detail: failure.Detail, RetryAfterMillis: failure.RetryAfter.Milliseconds(),
+		}, nil
 	}
 	return &answer, nil, err
 }
--- a/internal/standin/measure/overload.go
+++ b/internal/standin/measure/overload.go
@@ -14,7 +14,9 @@
 	// capacity is the queries a second of the overloaded application that its slots serve: 6 slots for each
 	// shard, 6 * 1000 / 32.5: 30 ms in the median and 32.5 ms in the mean (log-normal with sigma 0.4).
 	capacity        = 184
-	overloadSeconds = 5
+	overloadSeconds = 4
+	// settleSeconds of the same load come before what is measured.
+	settleSeconds = 2
 )
 
 // loadRow is what one application came to at one load.
@@ -39,10 +41,11 @@
 	}
 	s.generator.Run(ctx, cluster.Load{PerSecond: map[string]int{overloaded: int(capacity / 2)}, Seconds: 2})
 	for _, times := range []float64{0.5, 1, 2, 5} {
+		load := map[string]int{overloaded: int(times * capacity), "printing": 20, "waiver-intake": 20}
+		s.generator.Run(ctx, cluster.Load{PerSecond: load, Seconds: settleSeconds})
 		if err := s.cluster.ResetObserved(ctx); err != nil {
 			return err
 		}
-		load := map[string]int{overloaded: int(times * capacity), "printing": 20, "waiver-intake": 20}
 		outcomes := s.generator.Run(ctx, cluster.Load{PerSecond: load, Seconds: overloadSeconds})
 		report, err := s.cluster.Observed(ctx)
 		if err != nil {
