--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,15 @@
 bench-system: build
 	bin/standin measure --plots docs/plots
 
+# Every fuzz target for FUZZTIME each, one after the other. All of them run, also after a failure, whose input is
+# printed and kept in the package's testdata/fuzz.
+FUZZTIME ?= 10s
+fuzz:
+	@failed=0; for target in $$(grep -rHoE '^func Fuzz[A-Za-z0-9_]+' --include='*_test.go' cmd internal pkg | sed 's/:func /:/' | sort); do \
+		package=./$$(dirname $${target%%:*}); name=$${target##*:}; echo "$$package $$name"; \
+		$(GO) test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZTIME) $$package || failed=1; \
+	done; exit $$failed
+
 # All benchmarks of the repository, then the lines fitted through those that run at several sizes. BENCH_COUNT runs
 # give medians.
 BENCH_COUNT ?= 3
@@ -48,7 +57,7 @@
 		grep -E '^(Benchmark|pkg:|FAIL|---)' $$out; $(GO) run ./internal/slope < $$out; rm -f $$out; exit $$code
 
 # The benchmarks behind docs/CAPACITY.md.
-CAPACITY = RouteAndClaim|Spread|BenchmarkUpdate|BenchmarkHeartbeat|Listed|BenchmarkDecision|BenchmarkCall|ForwardedPart|InstanceList|EngineUpdate|Catalogue|BenchmarkGet|BenchmarkPlan|InForce|Exchange|Connections|Window|Owned|Adoption
+CAPACITY = RouteAndClaim|Spread|Claimed|ZoneLost|BenchmarkUpdate|BenchmarkHeartbeat|Listed|BenchmarkDecision|BenchmarkCall|ForwardedPart|InstanceList|EngineUpdate|Catalogue|BenchmarkGet|BenchmarkPlan|InForce|Exchange|Connections|Window|Owned|Adoption|BenchmarkState|Idle|Subrequest
 bench-capacity:
 	@out=$$(mktemp); $(GO) test -run '^$$' -bench '$(CAPACITY)' -benchtime $(BENCH_TIME) -count $(BENCH_COUNT) -p 1 ./internal/... > $$out; code=$$?; \
 		grep -E '^(Benchmark|pkg:|FAIL|---)' $$out; $(GO) run ./internal/slope < $$out; rm -f $$out; exit $$code
--- a/internal/replica/owner_test.go
+++ b/internal/replica/owner_test.go
@@ -79,11 +79,19 @@
 	catalogue catalogue.Catalogue
 	slots     int
 	stale     bool
-	attempts  uint64
-	results   []query.Result
+	// opening is how long the transport takes to open a connection before it writes.
+	opening  time.Duration
+	attempts uint64
+	results  []query.Result
 }
 
-func (r *rig) Do(ctx context.Context, server fleet.Server, _ Call) (Reply, error) {
+func (r *rig) Do(ctx context.Context, server fleet.Server, call Call) (Reply, error) {
+	if r.opening > 0 {
+		time.Sleep(r.opening)
+		if !call.Permitted() {
+			return Reply{}, verdict.New(verdict.NotRun, verdict.Fenced, "")
+		}
+	}
 	return r.servers[server.ID].serve(ctx)
 }
 
@@ -174,7 +182,7 @@
 }
 
 func (r *rig) warm(server fleet.ServerID) {
-	for range 30 {
+	for range (r.slots + 1) * rampStep {
 		r.send(server, 1, time.Second, nil)
 		time.Sleep(20 * time.Millisecond)
 	}
@@ -191,23 +199,25 @@
 		r := newRig(40, 4)
 		for entry := range 8 {
 			for id := range r.servers {
-				go r.Run(t.Context(), fleet.InstanceID(fmt.Sprint("e", entry)), []query.Part{
-					{Attempt: 1, Service: "x", Server: id, Deadline: time.Now().Add(time.Second)},
-					{Attempt: 2, Service: "x", Server: id, Deadline: time.Now().Add(time.Second)},
-				}, func(query.Result) {})
+				var parts []query.Part
+				for attempt := range uint64(20) {
+					parts = append(parts, query.Part{Attempt: attempt + 1, Service: "x", Server: id, Deadline: time.Now().Add(time.Minute)})
+				}
+				go r.Run(t.Context(), fleet.InstanceID(fmt.Sprint("e", entry)), parts, func(query.Result) {})
 			}
 		}
-		time.Sleep(9 * time.Millisecond)
+		time.Sleep(rampStep*10*time.Millisecond - time.Millisecond)
 		for _, server := range r.servers {
-			peak, _ := server.seen()
+			peak, calls := server.seen()
 			is.Equal(peak, 1)
+			is.Equal(calls, rampStep)
 		}
 		time.Sleep(10 * time.Millisecond)
 		for _, server := range r.servers {
 			peak, _ := server.seen()
-			is.Equal(peak, 2) // widened by one success
+			is.Equal(peak, 2) // widened by rampStep answers
 		}
-		time.Sleep(time.Second)
+		time.Sleep(time.Minute)
 		for _, status := range r.Servers() {
 			is.Equal(status.State, Warm)
 			peak, _ := r.servers[status.Server].seen()
@@ -339,6 +349,21 @@
 	})
 }
 
+// Guards against a write by an owner whose fence fell while its transport opened a connection.
+func TestFenceFallsWhileConnecting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(1, 2)
+		r.opening = 5 * time.Millisecond
+		time.AfterFunc(2*time.Millisecond, func() { r.change(func(r *rig) { r.stale = true }) })
+		r.send("s0", 1, time.Second, nil)
+		time.Sleep(time.Second)
+		is.Equal(r.reasons(), map[verdict.Reason]int{verdict.Fenced: 1})
+		_, calls := r.servers["s0"].seen()
+		is.Equal(calls, 0)
+	})
+}
+
 // Guards against a zone that comes back to servers which were warm before it was taken out: they may have
 // restarted meanwhile, and all of them get load at the same moment.
 func TestReturningZoneIsARamp(t *testing.T) {
