Match the response of parts.run on the link

Each parts.run had a goroutine that waited in jsonrpc2 for a response that only ends the call, its null result was decoded twice by the general decoder, and an error text was composed for calls without open parts. Odd ids now belong to parts.run, and the link settles these calls by their response or by the end of the connection.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -60,7 +60,7 @@
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.stream.direct = l.direct
-	l.rpc = jsonrpc2.NewConn(l.ctx, l.stream, l, jsonrpc2.SetLogger(discardLog), jsonrpc2.OnSend(l.onSend))
+	l.rpc = jsonrpc2.NewConn(l.ctx, l.stream, l, jsonrpc2.SetLogger(discardLog), jsonrpc2.OnSend(l.onSend), jsonrpc2.OnRecv(l.onReceive))
 	close(l.started)
 	context.AfterFunc(l.ctx, func() { _ = l.stream.Close() })
 	go func() {
@@ -73,6 +73,7 @@
 func (l *link) close() {
 	l.cancel()
 	l.node.forget(l)
+	l.loseCalls()
 }
 
 // onSend runs under the same lock of jsonrpc2 as the WriteObject after it.
@@ -99,7 +100,7 @@
 // call sends a request and waits for its answer. Its error has a verdict about this call alone.
 func (l *link) call(ctx context.Context, method string, params, result any) *verdict.Error {
 	var send sendState
-	waiter, err := l.dispatch(l.lastID.Add(1), method, params, &send)
+	waiter, err := l.dispatch(l.lastID.Add(2)&^partsID, method, params, &send)
 	if err != nil {
 		return notQueued(l.peer.Instance, err)
 	}
@@ -189,6 +190,9 @@
 
 func (l *link) direct(frame []byte) (bool, error) {
 	<-l.started
+	if l.endOfCall(frame) {
+		return true, nil
+	}
 	message, ok := parseInbound(frame)
 	if !ok {
 		return false, nil
--- a/internal/peer/send.go
+++ b/internal/peer/send.go
@@ -86,29 +86,20 @@
 		c.failAll(verdict.New(verdict.NotRun, verdict.Overloaded, "too many parts in flight to %q", c.to))
 		return
 	}
-	waiter, err := l.dispatch(c.id, methodPartsRun, toPartsRun(parts, hops > 0, time.Now()), &c.send)
+	params, err := encode(toPartsRun(parts, hops > 0, time.Now()))
+	if err == nil {
+		err = l.stream.enqueue(outFrame{encodeRequest(methodPartsRun, c.id, params), &c.send})
+	}
 	if err != nil {
 		c.failAll(notQueued(c.to, err))
 		return
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if len(c.open) > 0 {
 		c.timer = time.AfterFunc(time.Until(c.earliest()), c.expire)
 		c.stop = context.AfterFunc(ctx, func() { c.giveUp(c.attempts()) })
 	}
-	c.mu.Unlock()
-	go func() {
-		err := waiter.Wait(l.ctx, nil)
-		switch refused := fromRPCError(err); {
-		case refused != nil:
-			c.failAll(refused)
-		case err != nil:
-			l.closeOn(err)
-			c.failAll(c.send.lost(context.Background(), err))
-		default:
-			c.failAll(verdict.New(verdict.MayHaveRun, verdict.BadAnswer, "%q ended the call without a result", c.to))
-		}
-	}()
 }
 
 func (l *link) register(c *outCall, parts []query.Part) bool {
@@ -117,7 +108,7 @@
 	if l.inflight+len(parts) > l.node.settings.Limits.Parts {
 		return false
 	}
-	c.link, c.id = l, l.lastID.Add(1)
+	c.link, c.id = l, l.lastID.Add(2)|partsID
 	l.inflight += len(parts)
 	l.node.counters.partsSent.Add(uint64(len(parts)))
 	l.calls[c.id] = c
