Give the silent-connection test a deadline that a busy machine keeps

Cause: the test asks for whole answers, and at a machine load of 60 one part of 120 queries was refused as overloaded, rightly, since it could not be answered in 140 ms. Ruled out: a lost part or a connection that stayed silent. The check is unchanged: every query after the silence is whole.

--- a/internal/standin/publisher.go
+++ b/internal/standin/publisher.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"time"
 
 	"github.com/medlarlatch/medlarlatch/examples"
 	"github.com/medlarlatch/medlarlatch/internal/catalogue"
@@ -35,11 +36,15 @@
 	return text
 }
 
-// Configuration is the part of the example catalogues that holds the applications, as an operator writes it.
+// Configuration is the part of the example catalogues that holds the applications, as an operator writes it, with the
+// applications' deadlines.
 func Configuration(applications []Application) string {
 	var services []catalogue.Service
 	for _, application := range applications {
-		services = append(services, exampleServices(application.Name)...)
+		for _, service := range exampleServices(application.Name) {
+			service.Deadline = time.Duration(application.DeadlineMillis) * time.Millisecond
+			services = append(services, service)
+		}
 	}
 	return catalogue.New(services).Format()
 }
