Return the slot of a silent call soon after its cancellation is taken

Change: once the server has taken the cancellation, over another connection, the call waits 20 ms for its answer in place of 100. The guard that keeps the shortened wait off the next request on the connection is a lock now, because the wait is shortened twice.

The server in TestCallOutlastsItsDeadline is now late with the cancellation too: one that takes a cancellation and works on breaks its protocol.

--- a/internal/backend/cancel.go
+++ b/internal/backend/cancel.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
@@ -21,15 +22,36 @@
 	probeTimeout = 500 * time.Millisecond
 )
 
+// waiting is a connection on which a call waits for its answer.
+type waiting struct {
+	conn  *conn
+	mutex sync.Mutex
+	ended bool
+}
+
+// limit sets the end of the wait. It leaves the next request on the connection alone.
+func (w *waiting) limit(latest time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !w.ended {
+		_ = w.conn.SetReadDeadline(latest)
+	}
+}
+
+func (w *waiting) end() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.ended = true
+}
+
 // cancel asks the server to give up a call and lets the call's connection wait a little longer for what the
-// server answers. It closes shortened once it no longer touches that connection.
-func (t *Transport) cancel(p *pool, server fleet.Server, waiting *conn, call *replica.Call, shortened chan<- struct{}) {
+// server answers.
+func (t *Transport) cancel(p *pool, server fleet.Server, w *waiting, call *replica.Call) {
 	t.counters.cancels.Add(1)
 	latest := time.Now().Add(cancelPatience)
 	if latest.Before(call.Deadline.Add(cancelPatience)) {
-		_ = waiting.SetReadDeadline(latest)
+		w.limit(latest)
 	}
-	close(shortened)
 	c, failure := t.connect(context.Background(), p, server, latest, false)
 	if failure != nil {
 		return // The call's connection is closed after the patience, which the server notices too.
@@ -37,6 +59,9 @@
 	body := append(appendString([]byte(`{"request-id":`), call.RequestID), '}')
 	request := append(appendHead(nil, "POST", "/v1/cancel", p.address, len(body)), body...)
 	if _, ok := t.simple(p, c, request, latest); ok {
+		if known := time.Now().Add(cancelledPatience); known.Before(latest) {
+			w.limit(known)
+		}
 		p.put(c, t.options.Connections(server))
 	} else {
 		p.drop(c)
--- a/internal/backend/deadline_test.go
+++ b/internal/backend/deadline_test.go
@@ -23,6 +23,7 @@
 	var working atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !strings.HasSuffix(r.URL.Path, "shard-query") {
+			time.Sleep(late) // late with the cancellation too
 			return
 		}
 		working.Add(1)
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -30,6 +30,9 @@
 	// connection is closed. The server counts the deadline from the arrival of the request, which is later than the
 	// sending, and may be late itself; until it has answered it still uses the slot.
 	cancelPatience = 100 * time.Millisecond
+	// cancelledPatience is how long the answer may still take once the server has taken the cancellation. Without the
+	// answer the connection is silent, and the slot must not stay in use for long.
+	cancelledPatience = 20 * time.Millisecond
 )
 
 // errFenced is the outcome of an exchange whose call was no longer permitted before its first byte.
@@ -233,13 +236,11 @@
 		return done
 	}
 	if ctx.Done() != nil {
-		shortened := make(chan struct{})
-		stop := context.AfterFunc(ctx, func() { t.cancel(p, server, c, call, shortened) })
+		w := &waiting{conn: c}
+		stop := context.AfterFunc(ctx, func() { t.cancel(p, server, w, call) })
 		defer func() {
-			if !stop() {
-				// The next request on this connection must not get the shortened deadline.
-				<-shortened
-			}
+			stop()
+			w.end()
 		}()
 	}
 	c.read(&done)
