Let a queued part leave while its coordinator can still try elsewhere

Cause: a part is queued at a server when the service time says that a slot is free in time. When the calls ahead hang, as on silent connections or at a server with a ramp of one, it stayed until its own deadline and was refused as not run with no time left for another replica.

Change: a part leaves the queue, overloaded and not run, after twice the time that was expected at its admission, but not before a quarter of its time is gone.

--- a/internal/replica/gate.go
+++ b/internal/replica/gate.go
@@ -34,8 +34,15 @@
 	settled chan *verdict.Error
 	queued  bool
 	epoch   uint32
+	// patience is how long the task stays in the queue.
+	patience time.Duration
 }
 
+// queueShare is the part of its time that a task waits for a slot where the estimate was shorter. The calls ahead
+// may hang until their own deadlines; then the coordinator needs the rest of the time for another replica or for a
+// refusal that comes long before the deadline.
+const queueShare = 4
+
 // gate admits calls to one server. Its lock is the only one on the request path.
 type gate struct {
 	id    fleet.ServerID
@@ -128,6 +135,7 @@
 		g.forget(t)
 		return overloaded.WithRetryAfter(wait)
 	}
+	t.patience = max(2*(wait+g.serviceTime(t.expected)), t.part.Deadline.Sub(now)/queueShare)
 	t.queued = true
 	t.settled = make(chan *verdict.Error, 1)
 	g.queue[t.class] = append(g.queue[t.class], t)
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -212,15 +212,20 @@
 	if t.settled == nil {
 		return nil
 	}
+	timer := time.NewTimer(t.patience)
+	defer timer.Stop()
+	refusal := overloaded
 	select {
-	case refusal := <-t.settled:
-		return refusal
+	case settled := <-t.settled:
+		return settled
+	case <-timer.C:
 	case <-t.ctx.Done():
-		if g.abandon(t) {
-			return ended(t.ctx)
-		}
-		return <-t.settled
+		refusal = ended(t.ctx)
+	}
+	if g.abandon(t) {
+		return refusal
 	}
+	return <-t.settled
 }
 
 // recheck repeats the rules after the queue, where views may have changed.
