Sharpen the schedules against switched-off mechanisms

A server that starts cold takes its service's other replica with it, a divided zone gets a burst at both instances, a shutdown gets one before the balancer knows, and the balancer looks every 500 ms. The stand-in ends an execution when its drawn service time is over, also where the process is late: one request of 4 ms was seen to last 110 ms.

--- a/internal/standin/protocol.go
+++ b/internal/standin/protocol.go
@@ -80,7 +80,9 @@
 }
 
 func (s *Server) run(ctx context.Context, w http.ResponseWriter, faults *Faults, asked *queryMessage) {
-	timer := time.NewTimer(s.delay(faults))
+	delay := s.delay(faults)
+	s.dueAfter(asked.RequestID, delay)
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/standin/schedule/faults_test.go
+++ b/internal/standin/schedule/faults_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -105,6 +106,7 @@
 		if err := r.cluster.Signal(n, syscall.SIGTERM); err != nil {
 			return err
 		}
+		time.AfterFunc(100*time.Millisecond, func() { r.load.burst(-1, bursts) }) // the balancer does not know yet
 		return r.cluster.Wait(n, 15*time.Second)
 	}, stop: func(context.Context) error {
 		r.restarted(n)
@@ -148,7 +150,11 @@
 	}
 	return fault{on: fmt.Sprintf("state %d and %d", leaving, coming), span: faultSpan, start: func(context.Context) error {
 		r.cluster.SetLinks("entry-1", "entry-2", leaving, coming)
-		time.AfterFunc(1800*time.Millisecond, func() { r.load.burst(bursts) }) // after both have claimed
+		// Both have claimed by then, and each is the coordinator of enough for all slots.
+		time.AfterFunc(1800*time.Millisecond, func() {
+			go r.load.burst(0, bursts)
+			r.load.burst(1, bursts)
+		})
 		return nil
 	}, stop: func(context.Context) error {
 		r.cluster.SetLinks("entry-1", "entry-2", relay.Open, relay.Open)
@@ -215,18 +221,22 @@
 	return serverFault(`{"down":true}`, `{"down":false}`)(r, random)
 }
 
-// serverCold starts a server again at the same address: its connections are lost and it bears little.
+// serverCold starts both replicas of a service again at the same addresses: their connections are lost, they bear
+// little, and no warm replica can take their part of a burst.
 func serverCold(r *run, random *rand.Rand) fault {
-	id := server(random)
+	service := fmt.Sprintf("%s-%02d", search, 1+random.IntN(20))
 	r.downs.Store(true)
-	return fault{on: id, span: faultSpan, start: func(ctx context.Context) error {
-		if err := r.cluster.Fault(ctx, id, `{"down":true}`); err != nil {
+	change := func(ctx context.Context, faults string) error {
+		return errors.Join(r.cluster.Fault(ctx, service+"-a", faults), r.cluster.Fault(ctx, service+"-b", faults))
+	}
+	return fault{on: service, span: faultSpan, start: func(ctx context.Context) error {
+		if err := change(ctx, `{"down":true}`); err != nil {
 			return err
 		}
 		time.Sleep(200 * time.Millisecond)
-		defer r.load.burst(bursts)
-		return r.cluster.Fault(ctx, id, `{"down":false,"cold":true}`)
-	}, stop: func(ctx context.Context) error { return r.cluster.Fault(ctx, id, `{"cold":false}`) }}
+		defer r.load.burst(-1, bursts)
+		return change(ctx, `{"down":false,"cold":true}`)
+	}, stop: func(ctx context.Context) error { return change(ctx, `{"cold":false}`) }}
 }
 
 // serverLeaving ends with a restart, because only a new start mark brings a leaving server back.
--- a/internal/standin/schedule/load_test.go
+++ b/internal/standin/schedule/load_test.go
@@ -22,6 +22,8 @@
 	plainPerSecond    = 5
 	// bursts is the number of fan-out queries that begin at once in each episode.
 	bursts = 12
+	// balancerPeriod is the time between two checks of the balancer.
+	balancerPeriod = 500 * time.Millisecond
 	// loadBound ends the load in any case.
 	loadBound = 150 * time.Second
 
@@ -98,7 +100,8 @@
 	}
 }
 
-// follow learns as a balancer does whether an instance is ready.
+// follow learns as a balancer does whether an instance is ready. Its lag is at most balancerPeriod and the time of one
+// check, together less than the lag that the instances are set to.
 func (l *load) follow(ctx context.Context, n int) {
 	for ctx.Err() == nil {
 		bounded, cancel := context.WithTimeout(ctx, monitorPatience)
@@ -107,7 +110,7 @@
 		l.mutex.Lock()
 		l.ready[n] = ready
 		l.mutex.Unlock()
-		time.Sleep(monitorPeriod)
+		time.Sleep(balancerPeriod)
 	}
 }
 
@@ -149,8 +152,13 @@
 	return api.Query{ID: fmt.Sprintf("q-%d", number), DeadlineMillis: searchDeadline.Milliseconds(), Query: json.RawMessage(tagged)}
 }
 
-func (l *load) query(ctx context.Context, number int) {
-	a := l.call(ctx, l.choose(-1), search, l.searching(number))
+func (l *load) query(ctx context.Context, number int) { l.queryAt(ctx, -1, number) }
+
+func (l *load) queryAt(ctx context.Context, entry, number int) {
+	if entry < 0 {
+		entry = l.choose(-1)
+	}
+	a := l.call(ctx, entry, search, l.searching(number))
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.queries = append(l.queries, a)
@@ -159,15 +167,15 @@
 	}
 }
 
-// burst sends queries at once and returns when all have ended.
-func (l *load) burst(count int) {
+// burst sends queries at once, to one instance or with -1 to those that were ready, and returns when all have ended.
+func (l *load) burst(entry, count int) {
 	var group sync.WaitGroup
 	for range count {
 		l.mutex.Lock()
 		l.number++
 		number := l.number
 		l.mutex.Unlock()
-		group.Go(func() { l.query(context.Background(), number) })
+		group.Go(func() { l.queryAt(context.Background(), entry, number) })
 	}
 	group.Wait()
 }
--- a/internal/standin/schedule/run_test.go
+++ b/internal/standin/schedule/run_test.go
@@ -286,7 +286,7 @@
 		}
 	})
 	// A burst fills the slots of the servers while the faults last.
-	time.AfterFunc(time.Second, func() { r.load.burst(bursts) })
+	time.AfterFunc(time.Second, func() { r.load.burst(-1, bursts) })
 	group.Wait()
 	r.settle(ctx)
 	r.checkServers(ctx)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -54,12 +54,12 @@
 	seen       Observations
 }
 
-// execution is a query in progress. It ends at its deadline or when it is cancelled, also where this process is late
-// to notice, so that a busy machine does not make a server look overloaded.
+// execution is a query in progress. It ends when its service time or its deadline is over or when it is cancelled, also
+// where this process is late to notice, so that a busy machine does not make a server look overloaded.
 type execution struct {
-	cancel          context.CancelFunc
-	begun, deadline time.Time
-	cancelled       bool
+	cancel     context.CancelFunc
+	begun, due time.Time
+	cancelled  bool
 }
 
 // keptOver bounds the lines of Observations.Over.
@@ -214,7 +214,7 @@
 		s.noteOver(id)
 		return "shedding", false
 	}
-	s.running[id] = &execution{cancel: cancel, begun: time.Now(), deadline: deadline}
+	s.running[id] = &execution{cancel: cancel, begun: time.Now(), due: deadline}
 	return "", false
 }
 
@@ -222,7 +222,7 @@
 func (s *Server) inFlight() int {
 	now, count := time.Now(), 0
 	for _, running := range s.running {
-		if !running.cancelled && now.Before(running.deadline) {
+		if !running.cancelled && now.Before(running.due) {
 			count++
 		}
 	}
@@ -254,6 +254,17 @@
 	}
 }
 
+// dueAfter notes when an execution ends by itself.
+func (s *Server) dueAfter(id string, delay time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if running := s.running[id]; running != nil {
+		if due := running.begun.Add(delay); due.Before(running.due) {
+			running.due = due
+		}
+	}
+}
+
 func (s *Server) delay(faults *Faults) time.Duration {
 	factor := max(faults.SlowFactor, 1)
 	s.mutex.Lock()
