--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,7 +61,7 @@
 	node      *peer.Node
 	engine    *query.Engine
 	holdings  *snapshot.Holdings
-	admission *admission.Limiter
+	admission *admission.Group
 	runner    *ticket.Runner
 	tickets   *ticket.Router
 	parts     *parts
@@ -108,12 +108,13 @@
 		Fresh: func() bool { return i.members.reach.Load().Fresh(time.Now()) },
 		// The prefix of request ids must differ between two starts with the same seed.
 		Random: rand.NewPCG(rand.Uint64(), rand.Uint64()),
+		Go:     newWorkers().run,
 	})
 	if err := i.connectPeers(); err != nil {
 		return nil, err
 	}
 	i.engine = query.New(s.Zone, sender{i}, i.members, i.holdings, s.Seed)
-	i.admission = admission.New(admission.DefaultLimits())
+	i.admission = admission.NewGroup(admission.DefaultLimits())
 	i.tickets = ticket.NewRouter(i.runner, i.node, i.executeTicket)
 	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(s.Seed, stream)) }
 	i.store = platform.NewStore(s.Store, platform.Options{Timeout: s.Timeout, Random: random(1)})
