--- /dev/null
+++ b/internal/standin/program/callers_bench_test.go
@@ -0,0 +1,63 @@
+package program
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/standin/cluster"
+	"github.com/medlarlatch/medlarlatch/pkg/api"
+)
+
+// BenchmarkCallers reports the answers per second that 1 to 1,000 concurrent callers get, each asking again at once
+// after an answer and after the time that a refusal names. Each load lasts 3 s; b.N does not change it.
+func BenchmarkCallers(b *testing.B) {
+	const period = 3 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	c, err := cluster.Start(ctx, cluster.Options{
+		Program: os.Args[0], Environment: []string{runVariable + "=1"}, Seed: 1, Applications: []string{search},
+		Zones: []string{"zone-a", "zone-a", "zone-b", "zone-c"}, Versions: []uint64{1}, BalancerLag: time.Second,
+	})
+	defer c.Close()
+	if err != nil {
+		b.Fatal(err)
+	}
+	generator, err := c.NewGenerator()
+	if err != nil {
+		b.Fatal(err)
+	}
+	generator.Run(ctx, cluster.Load{PerSecond: map[string]int{search: 100}, Seconds: 3})
+	application := c.Application(search)
+	for _, callers := range []int{1, 10, 100, 1000} {
+		var answered, refused, failed atomic.Int64
+		until := time.Now().Add(period)
+		var all sync.WaitGroup
+		for n := range callers {
+			all.Go(func() {
+				for time.Now().Before(until) {
+					query := api.Query{ID: "q", DeadlineMillis: int64(application.DeadlineMillis), Query: application.Data.Query(uint64(n))}
+					_, refusal, err := c.Query(ctx, n%len(c.Entries), search, query)
+					switch {
+					case err != nil:
+						failed.Add(1)
+						return
+					case refusal != nil:
+						refused.Add(1)
+						time.Sleep(time.Duration(refusal.RetryAfterMillis) * time.Millisecond)
+					default:
+						answered.Add(1)
+					}
+				}
+			})
+		}
+		all.Wait()
+		b.ReportMetric(float64(answered.Load())/period.Seconds(), fmt.Sprintf("answers/s@%d", callers))
+		b.Logf("%d callers: %d answered, %d refused, %d failed", callers, answered.Load(), refused.Load(), failed.Load())
+	}
+	b.ReportMetric(0, "ns/op")
+}
