Format request ids without fmt

Cause: the profile of the entry instances under 5,000 subrequests a second has 8.7% in the growth of goroutine stacks, a third of it in fmt.Sprint of the request's number and most of the rest in the decoding of answers; the largest parts are the call to the server (30%), scheduling (18%) and the peers' messages (17%).

--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -186,7 +187,7 @@
 		return
 	}
 	call := Call{
-		RequestID: o.prefix + fmt.Sprint(o.counter.Add(1)), Service: t.part.Service, Shard: t.part.Shard,
+		RequestID: o.prefix + strconv.FormatUint(o.counter.Add(1), 10), Service: t.part.Service, Shard: t.part.Shard,
 		Version: t.part.Version, Deadline: t.part.Deadline, Idempotent: t.part.Idempotent, Query: t.part.Query,
 		Permitted: o.Fresh,
 	}
