Write a message to a peer at once when nobody else writes

Each message woke the writer of its connection, which costs more than the write. A sender now writes what the kernel takes without waiting; the writer takes the rest, messages that come within 100 µs of one another, and everything on connections without a descriptor (TLS). A parts.run that has ended also stops its timer for a runner that never answers, instead of starting it.

--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -190,17 +190,20 @@
 		hops = 2
 	}
 	ctx, cancel := context.WithDeadline(context.WithValue(l.ctx, forwardedKey{}, hops), latest)
-	call.cancel = cancel
 	// A runner that never answers must not hold the call for ever.
-	context.AfterFunc(ctx, func() { time.AfterFunc(l.node.settings.Limits.SilentAfter, call.abandon) })
+	stop := context.AfterFunc(ctx, func() { time.AfterFunc(l.node.settings.Limits.SilentAfter, call.abandon) })
+	call.cancel = func() {
+		stop()
+		cancel()
+	}
 	go l.node.handlers.Parts.Run(ctx, l.peer.Instance, parts, call.deliver)
 	return nil
 }
 
 func (c *inCall) deliver(result query.Result) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if _, ok := c.open[result.Attempt]; !ok {
+		c.mu.Unlock()
 		return
 	}
 	delete(c.open, result.Attempt)
@@ -211,8 +214,10 @@
 			"the rows have %d bytes, allowed between peers are %d", len(result.Rows), limit))
 	}
 	c.results = append(c.results, wire)
-	if !c.queued {
-		c.queued = true
+	first := !c.queued
+	c.queued = true
+	c.mu.Unlock()
+	if first {
 		c.link.stream.enqueueSource(c)
 	}
 }
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -49,8 +50,8 @@
 	appendFrames(buffer []byte) []byte
 }
 
-// stream frames JSON-RPC messages on a connection. Writes only queue, so that a peer that reads slowly
-// holds up no sender; one goroutine writes all that has come together at once.
+// stream frames JSON-RPC messages on a connection. A sender never waits for the peer: it writes what the kernel takes
+// at once, and one goroutine writes the rest and all that has come together meanwhile.
 type stream struct {
 	connection net.Conn
 	reader     *bufio.Reader
@@ -70,8 +71,16 @@
 	queued  int
 	sources []source
 	closed  bool
-	wake    chan struct{}
-	done    chan struct{}
+	// writing is set while a sender or the writer writes; only that one changes buffer and rest. handed passes it
+	// from a sender to the writer.
+	writing, handed bool
+	buffer, rest    []byte
+	// sent is when something was last queued while nobody wrote.
+	sent time.Time
+	// raw is the connection for writes that do not wait; nil if it has none, as with TLS.
+	raw  syscall.RawConn
+	wake chan struct{}
+	done chan struct{}
 }
 
 func newStream(connection net.Conn, limits Limits) *stream {
@@ -80,6 +89,9 @@
 		maxQueue: limits.QueueBytes, stall: limits.SilentAfter,
 		wake: make(chan struct{}, 1), done: make(chan struct{}),
 	}
+	if system, ok := connection.(syscall.Conn); ok {
+		s.raw, _ = system.SyscallConn()
+	}
 	// Before the handshake a stranger can make this process hold only this much.
 	s.maxFrame.Store(4 << 10)
 	go s.write()
@@ -166,71 +178,20 @@
 		return fmt.Errorf("%w: %d bytes, allowed are %d", errTooLarge, len(frame.body), s.maxFrame.Load())
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.closed {
+		s.mu.Unlock()
 		return errClosed
 	}
 	if s.queued+len(frame.body) > s.maxQueue {
+		s.mu.Unlock()
 		return errBusy
 	}
 	s.queue = append(s.queue, frame)
 	s.queued += len(frame.body)
-	s.signal()
+	s.send()
 	return nil
 }
 
-// enqueueSource has the writer ask a source for its frames.
-func (s *stream) enqueueSource(from source) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.sources = append(s.sources, from)
-	s.signal()
-}
-
-func (s *stream) signal() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
-func (s *stream) write() {
-	defer s.Close()
-	var buffer []byte
-	for {
-		select {
-		case <-s.done:
-			return
-		case <-s.wake:
-		}
-		s.mu.Lock()
-		queue, sources := s.queue, s.sources
-		s.queue, s.sources, s.queued = nil, nil, 0
-		s.mu.Unlock()
-		buffer = buffer[:0]
-		for _, frame := range queue {
-			if frame.send == nil || frame.send.state.CompareAndSwap(stateQueued, stateWritten) {
-				buffer = appendFrame(buffer, frame.body)
-			}
-		}
-		for _, from := range sources {
-			buffer = from.appendFrames(buffer)
-		}
-		if len(buffer) == 0 {
-			continue
-		}
-		if s.connection.SetWriteDeadline(time.Now().Add(s.stall)) != nil {
-			return
-		}
-		if _, err := s.connection.Write(buffer); err != nil {
-			return
-		}
-		if cap(buffer) > 1<<20 {
-			buffer = nil
-		}
-	}
-}
-
 func appendFrame(buffer, body []byte) []byte {
 	buffer = binary.BigEndian.AppendUint32(buffer, uint32(len(body)))
 	return append(buffer, body...)
