--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Verbs of the project; README.md shows demo and test, CONTRIBUTING.md the rest.
 GO ?= go
 
-.PHONY: build test lint format demo bench bench-capacity fuzz soak generate
+.PHONY: build test lint format demo bench bench-capacity bench-system fuzz soak generate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -35,6 +35,19 @@
 		MEDLARLATCH_SEED=$$seed $(GO) test -count=1 $$(grep -rl internal/seed --include=main_test.go internal | xargs -n1 dirname | sed 's#^#./#') || exit 1; \
 	done
 
+# medlarlatch beside the baseline as separate processes, about 3 minutes; writes docs/plots.
+bench-system: build
+	bin/standin measure --plots docs/plots
+
+# Every fuzz target for FUZZTIME each, one after the other. All of them run, also after a failure, whose input is
+# printed and kept in the package's testdata/fuzz.
+FUZZTIME ?= 10s
+fuzz:
+	@failed=0; for target in $$(grep -rHoE '^func Fuzz[A-Za-z0-9_]+' --include='*_test.go' cmd internal pkg | sed 's/:func /:/' | sort); do \
+		package=./$$(dirname $${target%%:*}); name=$${target##*:}; echo "$$package $$name"; \
+		$(GO) test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZTIME) $$package || failed=1; \
+	done; exit $$failed
+
 # All benchmarks of the repository, then the lines fitted through those that run at several sizes. BENCH_COUNT runs
 # give medians.
 BENCH_COUNT ?= 3
@@ -44,7 +57,7 @@
 		grep -E '^(Benchmark|pkg:|FAIL|---)' $$out; $(GO) run ./internal/slope < $$out; rm -f $$out; exit $$code
 
 # The benchmarks behind docs/CAPACITY.md.
-CAPACITY = RouteAndClaim|Spread|BenchmarkUpdate|BenchmarkHeartbeat|Listed|BenchmarkDecision|BenchmarkCall|ForwardedPart|InstanceList|EngineUpdate|Catalogue|BenchmarkGet|BenchmarkPlan|InForce|Exchange|Connections|Window|Owned|Adoption
+CAPACITY = RouteAndClaim|Spread|Claimed|ZoneLost|BenchmarkUpdate|BenchmarkHeartbeat|Listed|BenchmarkDecision|BenchmarkCall|ForwardedPart|InstanceList|EngineUpdate|Catalogue|BenchmarkGet|BenchmarkPlan|InForce|Exchange|Connections|Window|Owned|Adoption|BenchmarkState|Idle|Subrequest
 bench-capacity:
 	@out=$$(mktemp); $(GO) test -run '^$$' -bench '$(CAPACITY)' -benchtime $(BENCH_TIME) -count $(BENCH_COUNT) -p 1 ./internal/... > $$out; code=$$?; \
 		grep -E '^(Benchmark|pkg:|FAIL|---)' $$out; $(GO) run ./internal/slope < $$out; rm -f $$out; exit $$code
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -46,7 +46,9 @@
 	Program     string
 	Environment []string
 	// Serve runs entry instances in place of Program's verb entry; its arguments are "serve --settings FILE".
-	Serve        string
+	Serve string
+	// Baseline runs the plain entry instances of internal/standin/baseline in place of the product's.
+	Baseline     bool
 	Seed         uint64
 	Applications []string
 	// Zones holds the zone of each entry instance.
@@ -55,6 +57,9 @@
 	Versions []uint64
 	// BalancerLag is how long a leaving instance goes on serving.
 	BalancerLag time.Duration
+	// Deadline replaces the deadlines of the example catalogues. A test that asks for whole answers on a busy machine
+	// needs a longer one; zero keeps them.
+	Deadline time.Duration
 	// Relays puts a link that can be cut on every way between entry instances and to the platform.
 	Relays bool
 	// Logs receives what the processes write to standard error.
@@ -95,7 +100,11 @@
 	if err != nil {
 		return c, err
 	}
-	for _, application := range applications {
+	for n, application := range applications {
+		if options.Deadline > 0 {
+			application.DeadlineMillis = int(options.Deadline.Milliseconds())
+		}
+		applications[n] = application
 		c.applications[application.Name] = application
 	}
 	if c.directory, err = os.MkdirTemp("", "medlarlatch-cluster-"); err != nil {
@@ -309,6 +318,12 @@
 func (c *Cluster) settled(ctx context.Context) bool {
 	servers, claimed := 0, 0
 	for n := range c.Entries {
+		if c.Baseline {
+			if !c.Ready(ctx, n) {
+				return false
+			}
+			continue
+		}
 		status, err := c.Status(ctx, n)
 		if err != nil || !status.Ready {
 			return false
@@ -320,5 +335,5 @@
 			}
 		}
 	}
-	return servers > 0 && claimed == servers
+	return c.Baseline || servers > 0 && claimed == servers
 }
