--- a/internal/backend/bench_test.go
+++ b/internal/backend/bench_test.go
@@ -13,6 +13,8 @@
 	"os"
 	"os/exec"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -78,10 +80,18 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// BenchmarkCall reports the processor time of one call with 1 and 20 calls at a time.
+func systemTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Stime.Nano())
+}
+
+// BenchmarkCall reports the processor time of one call with 1 and 20 calls at a time, and of calls that start at a
+// fixed rate. Those cost several times as much: the process idles between them, and each wakes its threads.
 func BenchmarkCall(b *testing.B) {
 	address := startBenchServer(b)
-	transport := New(Options{Connections: func(fleet.Server) int { return 30 }})
+	// Paced calls come together after a stall of the machine, so the limit is far above what they need.
+	transport := New(Options{Connections: func(fleet.Server) int { return 1000 }})
 	defer transport.Close()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 30}}
 	server := fleet.Server{ID: "bench", Service: "svc", Address: address}
@@ -122,7 +132,36 @@
 		for _, parallel := range []int{1, 20} {
 			b.Run(fmt.Sprintf("%s/at-a-time=%d", name, parallel), func(b *testing.B) { measure(b, parallel, ways[name]) })
 		}
+		for _, rate := range []int{250, 1250} {
+			b.Run(fmt.Sprintf("%s/per-second=%d", name, rate), func(b *testing.B) { measurePaced(b, rate, ways[name]) })
+		}
+	}
+	// What the pace itself costs, to be taken off the figures of the others.
+	b.Run("nothing/per-second=1250", func(b *testing.B) { measurePaced(b, 1250, func() error { return nil }) })
+}
+
+// measurePaced runs two seconds of calls; b.N does not change it.
+func measurePaced(b *testing.B, rate int, way func() error) {
+	var group sync.WaitGroup
+	var failed atomic.Int64
+	before, systemBefore := processorTime(), systemTime()
+	started := time.Now()
+	for n := range 2 * rate {
+		time.Sleep(time.Until(started.Add(time.Duration(n) * time.Second / time.Duration(rate))))
+		group.Go(func() {
+			if way() != nil {
+				failed.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	if failed.Load() > 0 {
+		b.Fatalf("%d of %d calls failed", failed.Load(), 2*rate)
 	}
+	after, systemAfter := processorTime(), systemTime()
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(after-before)/1000/float64(2*rate), "cpu-µs/call")
+	b.ReportMetric(float64(systemAfter-systemBefore)/1000/float64(2*rate), "system-µs/call")
 }
 
 func measure(b *testing.B, parallel int, way func() error) {
--- a/internal/standin/cluster/usage.go
+++ b/internal/standin/cluster/usage.go
@@ -14,6 +14,8 @@
 // Usage is what the process of an entry instance has used so far.
 type Usage struct {
 	Processor time.Duration
+	// System is the share of Processor that the kernel used.
+	System time.Duration
 	// Resident is the memory in use now.
 	Resident int64
 }
@@ -39,6 +41,7 @@
 		numbers = append(numbers, number)
 	}
 	return Usage{
-		Processor: time.Duration(numbers[0]+numbers[1]) * clockTick, Resident: numbers[2] * int64(os.Getpagesize()),
+		Processor: time.Duration(numbers[0]+numbers[1]) * clockTick, System: time.Duration(numbers[1]) * clockTick,
+		Resident: numbers[2] * int64(os.Getpagesize()),
 	}, nil
 }
--- a/internal/standin/program/bench_test.go
+++ b/internal/standin/program/bench_test.go
@@ -34,7 +34,7 @@
 		b.Fatal(err)
 	}
 
-	used := func() (processor time.Duration, parts, resident int64) {
+	used := func() (processor, system time.Duration, parts, resident int64) {
 		for n := range c.Entries {
 			usage, err := c.Usage(n)
 			if err != nil {
@@ -45,19 +45,20 @@
 				b.Fatal(err)
 			}
 			processor += usage.Processor
+			system += usage.System
 			parts += status.Load.Firsts + status.Load.Hedges + status.Load.Retries
 			resident = max(resident, usage.Resident)
 		}
-		return processor, parts, resident
+		return processor, system, parts, resident
 	}
-	idleFrom, _, _ := used()
+	idleFrom, _, _, _ := used()
 	time.Sleep(idleTime)
-	idleTo, _, idle := used()
+	idleTo, _, _, idle := used()
 	generator.Run(ctx, cluster.Load{PerSecond: map[string]int{search: 50}, Seconds: 1})
-	before, partsBefore, _ := used()
+	before, systemBefore, partsBefore, _ := used()
 	started := time.Now()
 	outcome := generator.Run(ctx, cluster.Load{PerSecond: map[string]int{search: 250}, Seconds: 5})[search]
-	after, partsAfter, loaded := used()
+	after, systemAfter, partsAfter, loaded := used()
 	parts := float64(partsAfter - partsBefore)
 	if os.Getenv("MEDLARLATCH_PROFILE") != "" {
 		// A profile is written when the process ends by itself.
@@ -69,6 +70,7 @@
 	}
 	b.ReportMetric(0, "ns/op")
 	b.ReportMetric(float64((after-before).Microseconds())/parts, "cpu-µs/subrequest")
+	b.ReportMetric(float64((systemAfter-systemBefore).Microseconds())/parts, "system-µs/subrequest")
 	b.ReportMetric(parts/time.Since(started).Seconds(), "subrequests/s")
 	b.ReportMetric(100*float64(idleTo-idleFrom)/float64(idleTime)/float64(len(c.Entries)), "idle-cpu-%")
 	b.ReportMetric(float64(idle)/1e6, "idle-MB")
