Say 0 for retry-after where servers refuse the request itself

Cause: query.refusal replaced a missing hint by the default of 1 s for every reason, so a caller whose request every server refuses as invalid-request or unauthorised was told to send the same request again. Ruled out: a rule on the refusal's reason alone. With some shards answered it is coverage-below-floor although the other shards can never answer. Change: the retry hint is 0 when the shards refused for these two reasons leave fewer shards than are needed. Before: 1000 in the three cases of TestRetryAfterOfRefusedRequest that want 0; after: 0, and 1000 for shedding and not-ready as before. Conclusion: proved by go test -run RetryAfterOf ./internal/query.

--- a/internal/query/compose.go
+++ b/internal/query/compose.go
@@ -142,15 +142,28 @@
 	case ran > 0 || q.dropped:
 		refusal.Verdict = verdict.MayHaveRun
 	}
-	after := time.Duration(0)
+	refusal.RetryAfterMillis = q.retryAfterMillis()
+	return refusal
+}
+
+// retryAfterMillis is 0 where servers have refused the request itself in so many shards that sending it again cannot
+// reach the shards needed.
+func (q *query) retryAfterMillis() int64 {
+	after, lasting := time.Duration(0), 0
 	for i := range q.shards {
-		after = max(after, q.shards[i].after)
+		shard := &q.shards[i]
+		after = max(after, shard.after)
+		if shard.failed && (shard.reason == verdict.InvalidRequest || shard.reason == verdict.Unauthorised) {
+			lasting++
+		}
+	}
+	if len(q.shards) > 0 && len(q.shards)-lasting < q.needed() {
+		return 0
 	}
 	if after == 0 {
 		after = defaultRetryAfter
 	}
-	refusal.RetryAfterMillis = max(1, after.Milliseconds())
-	return refusal
+	return max(1, after.Milliseconds())
 }
 
 // withdrawUnsent ends the attempts that are still in the outbox, so that they do not count as parts that
