Carry the whole refusal of a ticketed request

Cause: ticket.Outcome held a verdict.Error only, so coverage and field of a refusal were lost on the way to the caller, at the issuer and over ticket.run. Ruled out: holding api.Refusal in place of the error. The verdict rules of internal/ticket/README.md work on the error, and a refusal's id is that of the caller's request and not of the outcome. Change: the outcome has field and coverage next to the error, and ticket.run carries both. No verdict rule changes. Seen failing: with Refused leaving out both, TestWholeRefusal and TestWholeRefusalThroughPeers fail. Conclusion: proved by go test ./internal/ticket ./internal/peer.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -37,10 +37,7 @@
 		return outcome.Answer, nil
 	}
 	s.notForwarded(request, outcome.Err)
-	return nil, &api.Refusal{
-		ID: request.Query.ID, Verdict: outcome.Err.Verdict, Reason: outcome.Err.Reason, Detail: outcome.Err.Detail,
-		RetryAfterMillis: outcome.Err.RetryAfter.Milliseconds(),
-	}
+	return nil, outcome.Refusal(request.Query.ID)
 }
 
 // Tickets implements httpapi.Service.
@@ -119,8 +116,7 @@
 	if refusal == nil {
 		return ticket.Outcome{Answer: answer}
 	}
-	failure := verdict.New(refusal.Verdict, refusal.Reason, "%s", refusal.Detail)
-	return ticket.Outcome{Err: failure.WithRetryAfter(time.Duration(refusal.RetryAfterMillis) * time.Millisecond)}
+	return ticket.Refused(refusal)
 }
 
 // ticketRunner runs this instance's tickets for peers.
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -12,6 +12,7 @@
 	"github.com/medlarlatch/medlarlatch/internal/query"
 	"github.com/medlarlatch/medlarlatch/internal/snapshot"
 	"github.com/medlarlatch/medlarlatch/internal/ticket"
+	"github.com/medlarlatch/medlarlatch/pkg/api"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
@@ -237,8 +238,10 @@
 }
 
 type ticketRan struct {
-	Answer json.RawMessage `json:"answer,omitempty"`
-	Err    *wireError      `json:"error,omitempty"`
+	Answer   json.RawMessage `json:"answer,omitempty"`
+	Err      *wireError      `json:"error,omitempty"`
+	Field    string          `json:"field,omitempty"`
+	Coverage *api.Coverage   `json:"coverage,omitempty"`
 }
 
 type configurationChanged struct {
--- a/internal/peer/send.go
+++ b/internal/peer/send.go
@@ -341,7 +341,7 @@
 	if err := n.call(ctx, to, methodTicketRun, run, &ran); err != nil {
 		return ticket.Outcome{}, err
 	}
-	return ticket.Outcome{Answer: ran.Answer, Err: ran.Err.toError()}, nil
+	return ticket.Outcome{Answer: ran.Answer, Err: ran.Err.toError(), Field: ran.Field, Coverage: ran.Coverage}, nil
 }
 
 // GetConfiguration asks a peer for the configuration in force there. The answer has no document if the peer has
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -140,7 +140,7 @@
 	outcome := l.node.handlers.Tickets.RunTicket(ctx, l.peer.Instance, ticket.Call{
 		Ticket: run.Ticket, Digest: run.Digest, Application: run.Application, Body: run.Body, Deadline: deadline,
 	})
-	return ticketRan{outcome.Answer, toWireError(outcome.Err)}
+	return ticketRan{outcome.Answer, toWireError(outcome.Err), outcome.Field, outcome.Coverage}
 }
 
 // inCall is a parts.run that this instance serves. Results wait here until the writer is free, so
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -78,6 +78,51 @@
 type Outcome struct {
 	Answer json.RawMessage
 	Err    *verdict.Error
+	// Field and Coverage are the rest of the refusal next to Err, if the execution gave them.
+	Field    string
+	Coverage *api.Coverage
+}
+
+// Refused returns the outcome of a refusal.
+func Refused(refusal *api.Refusal) Outcome {
+	failure := verdict.New(refusal.Verdict, refusal.Reason, "%s", refusal.Detail)
+	return Outcome{
+		Err:   failure.WithRetryAfter(time.Duration(refusal.RetryAfterMillis) * time.Millisecond),
+		Field: refusal.Field, Coverage: refusal.Coverage,
+	}
+}
+
+// Refusal returns the refusal of a request with this id, or nil for a complete answer.
+func (o Outcome) Refusal(id string) *api.Refusal {
+	if o.Err == nil {
+		return nil
+	}
+	return &api.Refusal{
+		ID: id, Verdict: o.Err.Verdict, Reason: o.Err.Reason, Detail: o.Err.Detail, Field: o.Field,
+		RetryAfterMillis: o.Err.RetryAfter.Milliseconds(), Coverage: o.Coverage,
+	}
+}
+
+// missingBytes is about what a missing shard takes in memory beside its name.
+const missingBytes = 32
+
+// size is what the outcome takes beside a refusal's fixed fields.
+func (o Outcome) size() int {
+	bytes := len(o.Answer)
+	if o.Coverage != nil {
+		for _, missing := range o.Coverage.Missing {
+			bytes += missingBytes + len(missing.Shard)
+		}
+	}
+	return bytes
+}
+
+// reduced is the outcome without what can take much memory; its verdict stays true.
+func (o Outcome) reduced() Outcome {
+	if o.Err == nil {
+		return Outcome{Err: verdict.New(verdict.Ran, verdict.ResultDropped, "the request ran; its answer is no longer held")}
+	}
+	return Outcome{Err: o.Err, Field: o.Field}
 }
 
 // Forwarder carries a call to the instance that issued its ticket. The outcome is the issuer's. An
--- a/internal/ticket/window.go
+++ b/internal/ticket/window.go
@@ -17,7 +17,7 @@
 	// used has a bit for each of the last usedBits sequence numbers, so that a ticket that left the
 	// window unused is still known not to have run.
 	used []uint64
-	// remembered lists the entries with an answer from the oldest on; bytes is the sum of their sizes.
+	// remembered lists the entries with an answer or a coverage from the oldest on; bytes is the sum of their sizes.
 	remembered []*entry
 	bytes      int
 	mostBytes  int
@@ -113,7 +113,7 @@
 func (w *window) settle(found *entry, outcome Outcome) {
 	found.run.outcome = outcome
 	close(found.run.done)
-	if size := len(outcome.Answer); size > 0 && !found.gone {
+	if size := outcome.size(); size > 0 && !found.gone {
 		w.remembered = append(w.remembered, found)
 		w.bytes += size
 	}
@@ -124,15 +124,13 @@
 	}
 }
 
-// forget drops the answer of an entry.
+// forget drops the answer of an entry, or a refusal's coverage.
 func (w *window) forget(found *entry) {
-	if found.run == nil || !found.run.ended() || len(found.run.outcome.Answer) == 0 {
+	if found.run == nil || !found.run.ended() || found.run.outcome.size() == 0 {
 		return
 	}
-	w.bytes -= len(found.run.outcome.Answer)
-	found.run = &run{done: found.run.done, outcome: Outcome{
-		Err: verdict.New(verdict.Ran, verdict.ResultDropped, "the request ran; its answer is no longer held"),
-	}}
+	w.bytes -= found.run.outcome.size()
+	found.run = &run{done: found.run.done, outcome: found.run.outcome.reduced()}
 }
 
 func (r *run) ended() bool {
