Contact no backend server that is out or leaving

Cause: followStates asks every claimed server for its state, and instances of other zones claim the servers of a zone that is out, so each such server got a connection and a request a second. The prober kept its idle connections as well. Ruled out: leaving these servers out of the ownership table. The claim has to be there when the zone returns, and the coordinators route by it. Change: the questions skip servers that are out or leaving by the instance list, the limit of connections to them is 0, and their idle connections are closed on adoption. A server that only says itself that it leaves is still asked for its state: nothing else tells of a process started again at its address.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -98,10 +98,7 @@
 	i.holder = configuration.NewHolder(checkIndex)
 	self := fleet.Entry{ID: s.Instance, Zone: s.Zone, Region: s.Region, Peers: s.Peers, Operators: s.Operators}
 	i.members = newMembers(self)
-	i.transport = backend.New(backend.Options{Connections: func(server fleet.Server) int {
-		_, connections, _ := i.members.table.Load().Claim(server.ID)
-		return connections
-	}})
+	i.transport = backend.New(backend.Options{Connections: i.connections})
 	i.owner = replica.New(replica.Dependencies{
 		Self: s.Instance, Transport: i.transport, Server: i.members.server, Catalogue: i.catalogue,
 		Claim: func(id fleet.ServerID) (int, int, bool) { return i.members.table.Load().Claim(id) },
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -16,7 +16,7 @@
 	hintsAtATime = 8
 )
 
-// followStates asks the servers that this instance owns for their state until ctx ends.
+// followStates asks the servers that this instance owns and may contact for their state until ctx ends.
 func (i *Instance) followStates(ctx context.Context) {
 	ticker := time.NewTicker(hintInterval)
 	defer ticker.Stop()
@@ -30,7 +30,7 @@
 		places := make(chan struct{}, hintsAtATime)
 		for _, id := range i.members.table.Load().Claimed() {
 			server, ok := i.members.server(id)
-			if !ok || !i.members.reach.Load().Fresh(time.Now()) {
+			if !ok || !i.mayContact(server) || !i.members.reach.Load().Fresh(time.Now()) {
 				continue
 			}
 			places <- struct{}{}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -241,6 +241,7 @@
 			i.engine.Update(i.members.reach.Load().View(), view.Catalogue, inForce)
 		}
 		now := table.Claimed()
+		i.closeIdle(now)
 		i.handOver(ctx, table, lost(claimed, now))
 		claimed = now
 	}
