Find a conflict also for a document that no verb has written

Cause: apply tells a racing change by the write id in the file. A document put into the store by other means has none, so a file made from it replaced whatever was there, and a file made from an empty store replaced the first document. Ruled out: reading the revision from the comment that get prints, because a comment that decides about a write can be lost without a sign. Change: get writes base-revision into a file made from such a document, also 0 for an empty store; apply takes another revision in the store as a conflict and an older one as a store that lags. The key is not written to the store. Seen failing: without the key, the case unwritten.txt has the file of the empty store and the file that is applied twice accepted in place of a conflict. Conclusion: proved by go test -run TestCases ./internal/command.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -73,6 +73,7 @@
 	instancesOut map[fleet.InstanceID]bool
 	// writeIDs are the ids of the last writes, newest first.
 	writeIDs []string
+	base     BaseRevision
 }
 
 // New returns a catalogue of services that were already checked.
--- a/internal/catalogue/format.go
+++ b/internal/catalogue/format.go
@@ -18,6 +18,7 @@
 	if len(c.writeIDs) > 0 {
 		fmt.Fprintf(&text, "write-id = %s\nrecent-write-ids = %s\n", c.writeIDs[0], strings.Join(c.writeIDs, ","))
 	}
+	text.WriteString(c.base.format())
 	for _, s := range c.Services() {
 		fmt.Fprintf(&text, "\n[%s %s]\n", kindService, s.ID)
 		for i, value := range s.values() {
--- a/internal/catalogue/parse.go
+++ b/internal/catalogue/parse.go
@@ -45,6 +45,7 @@
 	zones := make(map[fleet.ZoneID]bool)
 	instances := make(map[fleet.InstanceID]bool)
 	var writeIDs []string
+	var base BaseRevision
 	formatted := false
 	for _, section := range reader.Sections() {
 		kind, name, named := strings.Cut(section.Name, " ")
@@ -55,6 +56,7 @@
 		}
 		switch {
 		case kind == kindConfiguration && !named:
+			base = parseBase(section)
 			writeIDs = parseConfiguration(section)
 			formatted = true
 		case kind == kindService && named:
@@ -79,7 +81,7 @@
 		return Catalogue{}, faults
 	}
 	parsed := New(services)
-	parsed.zonesOut, parsed.instancesOut, parsed.writeIDs = zones, instances, writeIDs
+	parsed.zonesOut, parsed.instancesOut, parsed.writeIDs, parsed.base = zones, instances, writeIDs, base
 	return parsed, nil
 }
 
@@ -87,7 +89,7 @@
 	section.Choice("format", fmt.Sprint(formatVersion))
 	ids := section.Words("write-id", 1)
 	recent := section.Words("recent-write-ids", MaxWriteIDs)
-	section.ReportUnknown("format", "write-id", "recent-write-ids")
+	section.ReportUnknown("format", "write-id", "recent-write-ids", keyBase)
 	if len(recent) > 0 && (len(ids) == 0 || recent[0] != ids[0]) {
 		section.Add("recent-write-ids", "the first id is not the write-id", "the ids of the last writes, newest first")
 		return nil
--- a/internal/command/apply.go
+++ b/internal/command/apply.go
@@ -41,7 +41,7 @@
 }
 
 // replacement returns the edit that puts a file in the place of the store's document. A file that get
-// wrote carries a write id and stands for the whole document. Any other file does not bring back zones
+// wrote carries a write id or a base revision and stands for the whole document. Any other file does not bring back zones
 // and instances that are out, because its author may not have known of them.
 func replacement(proposed catalogue.Catalogue) configuration.Edit {
 	edit := configuration.Edit{Apply: func(current catalogue.Catalogue) (catalogue.Catalogue, error) {
@@ -54,8 +54,12 @@
 		}
 		return changed, nil
 	}}
-	if ids := proposed.WriteIDs(); len(ids) > 0 {
+	edit.BaseRevision = proposed.Base()
+	ids := proposed.WriteIDs()
+	if len(ids) > 0 {
 		edit.Base = ids[0]
+	}
+	if len(ids) > 0 || edit.BaseRevision.Known {
 		edit.Apply = func(catalogue.Catalogue) (catalogue.Catalogue, error) { return proposed, nil }
 	}
 	return edit
--- a/internal/command/cases_test.go
+++ b/internal/command/cases_test.go
@@ -143,7 +143,7 @@
 }
 
 // prepare runs a line that changes the stage: "store FAULTS", "list FAULTS", "stuck INSTANCE", "silent INSTANCE",
-// "put DOCUMENT", "write FILE TEXT" with \n for line ends, or "replace FILE OLD => NEW".
+// "put DOCUMENT" or "write FILE TEXT" with \n for line ends, or "replace FILE OLD => NEW".
 func (s *stage) prepare(line string) {
 	verb, rest, _ := strings.Cut(line, " ")
 	switch verb {
@@ -160,7 +160,7 @@
 	case "silent":
 		s.silent = rest
 	case "put":
-		s.store.Put(configuration.Key, rest)
+		s.store.Put(configuration.Key, strings.ReplaceAll(rest, `\n`, "\n"))
 	case "write":
 		file, text, _ := strings.Cut(rest, " ")
 		s.files[file] = strings.ReplaceAll(text, `\n`, "\n")
--- a/internal/command/get.go
+++ b/internal/command/get.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+
+	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 )
 
 var getVerb = verb{
@@ -35,6 +37,9 @@
 	if err != nil {
 		return err
 	}
+	if len(found.WriteIDs()) == 0 {
+		found = found.WithBase(catalogue.BaseRevision{Revision: revision, Known: true})
+	}
 	if g.JSON {
 		return printJSON(environment.Output, map[string]any{"revision": revision, "catalogue": found.Format()})
 	}
--- a/internal/configuration/editor.go
+++ b/internal/configuration/editor.go
@@ -24,6 +24,9 @@
 	// Base is the write id of the document that the operator started from; empty stands for whatever
 	// is in the store. Another write id in the store is a conflict.
 	Base string
+	// BaseRevision is the revision of that document where it has no write id. Another revision in the store is a
+	// conflict.
+	BaseRevision catalogue.BaseRevision
 	// OverUnreadable replaces a document that cannot be read as if there were none; otherwise it is an
 	// error, because its zones and instances that are out would be brought back.
 	OverUnreadable bool
@@ -127,12 +130,12 @@
 		if _, unreadable := errors.AsType[catalogue.Faults](err); err != nil && !(unreadable && edit.OverUnreadable) {
 			return Accepted{}, err
 		}
-		if first && !knowsBase(current, edit.Base) {
+		if first && !knowsBase(current, revision, edit) {
 			if rereads++; rereads <= staleRereads && e.pause(ctx) == nil {
 				continue
 			}
 			return Accepted{}, verdict.New(verdict.NotRun, verdict.BadAnswer,
-				"the store does not know the write id %s that the document starts from: it answers from an older state, or the document is from another store", edit.Base)
+				"the store does not know the %s that the document starts from: it answers from an older state, or the document is from another store", edit.start())
 		}
 		if revision < least {
 			if err := e.pause(ctx); err != nil {
@@ -149,7 +152,7 @@
 		if err != nil {
 			return Accepted{}, err
 		}
-		if edit.Base != "" && writeID(current) != edit.Base || revision != baseRevision {
+		if !edit.startsFrom(current, revision) || revision != baseRevision {
 			return Accepted{}, &RejectedError{revision, catalogue.Diff(base, current), next.change}
 		}
 		accepted, conflict, err := e.write(ctx, next)
@@ -168,9 +171,28 @@
 }
 
 // knowsBase tells whether the catalogue is the base or came after it. A full list of ids may have lost it.
-func knowsBase(current catalogue.Catalogue, base string) bool {
+func knowsBase(current catalogue.Catalogue, revision uint64, edit Edit) bool {
+	if edit.BaseRevision.Known && revision < edit.BaseRevision.Revision {
+		return false
+	}
 	ids := current.WriteIDs()
-	return base == "" || len(ids) == catalogue.MaxWriteIDs || slices.Contains(ids, base)
+	return edit.Base == "" || len(ids) == catalogue.MaxWriteIDs || slices.Contains(ids, edit.Base)
+}
+
+// startsFrom tells whether the catalogue in the store is the one that the operator started from.
+func (e Edit) startsFrom(current catalogue.Catalogue, revision uint64) bool {
+	if e.BaseRevision.Known && revision != e.BaseRevision.Revision {
+		return false
+	}
+	return e.Base == "" || writeID(current) == e.Base
+}
+
+// start names what the operator started from.
+func (e Edit) start() string {
+	if e.Base == "" {
+		return fmt.Sprintf("revision %d", e.BaseRevision.Revision)
+	}
+	return "write id " + e.Base
 }
 
 func (e *Editor) prepare(current catalogue.Catalogue, revision uint64, edit Edit) (write, error) {
@@ -179,7 +201,7 @@
 		return write{}, err
 	}
 	id := strconv.FormatUint(e.random.Uint64(), 36) + strconv.FormatUint(e.random.Uint64(), 36)
-	changed = changed.WithWriteIDs(append([]string{id}, current.WriteIDs()...))
+	changed = changed.WithWriteIDs(append([]string{id}, current.WriteIDs()...)).WithBase(catalogue.BaseRevision{})
 	text := changed.Format()
 	if len(text) > document.MaxBytes {
 		return write{}, fmt.Errorf("the configuration would have %d bytes; allowed: at most %d", len(text), document.MaxBytes)
