Bound the peers' connections before the handshake by themselves

Cause: every accepted connection took one of the 4096 inbound places for up to 1 s, so strangers without the key could keep peers out. Ruled out: refusing new connections at a bound of their own. 512 connections a second would still hold every place before a peer. Change: at most 512 connections wait for their handshake, and at the bound the oldest gives way. The 4096 places are taken after the handshake; a connection that gave way in between is not admitted.

--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -102,8 +102,9 @@
 		!hmac.Equal(other.Proof, prove(l.node.settings.Key, "dialler", l.greeting.dialler, l.greeting.listener)) {
 		return nil, refused
 	}
-	l.admit(l.greeting.dialler)
-	l.node.admitInbound(l)
+	if !l.node.admitInbound(l, l.greeting.dialler) {
+		return nil, verdict.New(verdict.NotRun, verdict.Overloaded, "no room for another connection")
+	}
 	return struct{}{}, nil
 }
 
@@ -114,7 +115,7 @@
 // expireHello closes a connection whose handshake takes too long.
 func (l *link) expireHello(after time.Duration) {
 	time.AfterFunc(after, func() {
-		if !l.admitted.Load() {
+		if !l.admitted.Load() && l.ctx.Err() == nil {
 			l.node.counters.refused.Add(1)
 			l.close()
 		}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -29,8 +29,10 @@
 	QueueBytes int
 	// Parts is the most parts in flight to, and calls served from, one peer; default 8192.
 	Parts int
-	// Connections is the most inbound connections; default 4096.
+	// Connections is the most inbound connections after the handshake; default 4096.
 	Connections int
+	// Handshakes is the most inbound connections before the handshake; default 512, whose read buffers take 16 MiB.
+	Handshakes int
 	// SilentAfter is how long a heartbeat or a write may take before its connection is closed, and
 	// how long dialling with the handshake may take; default 1 s, when a peer counts as unreachable.
 	SilentAfter time.Duration
@@ -53,6 +55,7 @@
 	set(&l.QueueBytes, 32<<20)
 	set(&l.Parts, 8192)
 	set(&l.Connections, 4096)
+	set(&l.Handshakes, 512)
 	wait(&l.SilentAfter, time.Second)
 	wait(&l.BackoffFirst, 50*time.Millisecond)
 	wait(&l.BackoffMost, 2*time.Second)
@@ -85,9 +88,11 @@
 	random   *randomness
 	counters counters
 
-	mu        sync.Mutex
-	outbound  map[fleet.InstanceID]*outbound
-	inbound   map[*link]bool
+	mu       sync.Mutex
+	outbound map[fleet.InstanceID]*outbound
+	inbound  map[*link]bool
+	// pending holds the inbound connections before the handshake, the oldest first.
+	pending   []*link
 	listeners map[net.Listener]bool
 	closed    bool
 }
@@ -135,38 +140,22 @@
 			connection = tls.Server(connection, n.settings.TLS)
 		}
 		n.mu.Lock()
-		if n.closed || len(n.inbound) >= n.settings.Limits.Connections {
+		if n.closed {
 			n.mu.Unlock()
-			n.counters.refused.Add(1)
 			_ = connection.Close()
 			continue
 		}
 		l := newLink(n, connection, false)
-		n.inbound[l] = true
+		evicted := n.accept(l)
 		n.mu.Unlock()
-		l.expireHello(n.settings.Limits.SilentAfter)
-	}
-}
-
-// admitInbound closes older connections of the same process, which has given them up. Two processes
-// with the same name keep theirs, since otherwise each would close the other's for ever.
-func (n *Node) admitInbound(admitted *link) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for other := range n.inbound {
-		if other != admitted && other.admitted.Load() && other.peer.Instance == admitted.peer.Instance &&
-			other.peer.Incarnation == admitted.peer.Incarnation {
-			other.cancel()
+		if evicted != nil {
+			n.counters.refused.Add(1)
+			evicted.close()
 		}
+		l.expireHello(n.settings.Limits.SilentAfter)
 	}
 }
 
-func (n *Node) forget(l *link) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	delete(n.inbound, l)
-}
-
 // Close closes all listeners and connections. Calls in flight end with a true verdict.
 func (n *Node) Close() {
 	n.mu.Lock()
--- /dev/null
+++ b/internal/peer/pending_test.go
@@ -0,0 +1,75 @@
+package peer
+
+import (
+	"math/rand"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+// limited starts a node that has few places for inbound connections.
+func limited(t *testing.T, n *network, limits Limits) *Node {
+	t.Helper()
+	node, err := New(Settings{Instance: "b", Key: []byte(testKey), Limits: limits}, Handlers{Heartbeats: beats{}},
+		func(id fleet.InstanceID) (string, bool) { return string(id), true }, n, rand.New(rand.NewSource(1)))
+	is.New(t).NoErr(err)
+	listener := n.listen("b")
+	go func() { _ = node.Serve(listener) }()
+	return node
+}
+
+// Guards against strangers who shut out peers by holding connections without a handshake, and against a bound that
+// can be passed.
+func TestStrangersShutNobodyOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		b := limited(t, n, Limits{Handshakes: 4, Connections: 2})
+		var held []net.Conn
+		stranger := func() {
+			connection, err := n.DialContext(t.Context(), "tcp", "b")
+			is.NoErr(err)
+			held = append(held, connection)
+		}
+		for range 50 {
+			stranger()
+		}
+		synctest.Wait()
+		b.mu.Lock()
+		is.Equal(len(b.inbound), 4)
+		b.mu.Unlock()
+		is.Equal(b.Counts().Refused, uint64(46))
+		for _, name := range []string{"a", "c"} {
+			node := n.join(t, name, testKey, Handlers{})
+			defer node.Close()
+			begun := time.Now()
+			_, err := node.Heartbeat(t.Context(), "b", Heartbeat{})
+			is.NoErr(err)
+			is.Equal(time.Since(begun), time.Duration(0)) // at once, not after the strangers' second
+			for range 50 {
+				stranger()
+			}
+			_, err = node.Heartbeat(t.Context(), "b", Heartbeat{})
+			is.NoErr(err) // an admitted peer is not pushed out
+		}
+		late := n.join(t, "d", testKey, Handlers{})
+		defer late.Close()
+		_, err := late.Heartbeat(t.Context(), "b", Heartbeat{})
+		is.Equal(verdict.Of(err), verdict.NotRun) // both places of peers are taken
+		time.Sleep(2 * time.Second)
+		b.mu.Lock()
+		is.Equal(len(b.pending), 0) // the strangers' time is over
+		is.Equal(len(b.inbound), 2)
+		b.mu.Unlock()
+		b.Close()
+		for _, connection := range held {
+			_ = connection.Close()
+		}
+	})
+}
