Bound what one answer of a backend server can make the owner hold

Cause: http.ReadResponse reads a header without a bound, so a server could make the owner read 64 MB of header until the deadline. start-mark and held were kept at any length, and held goes to peers with every refusal. Closing the body of an answer announced as too long read the rest of it, which kept the slot and the connection until the deadline. Ruled out: a shorter deadline for the header; the memory is what matters, and the deadline is the query's. Change: at most 64 KiB beside the body, 256 bytes of start-mark and 1000 versions; an answer beyond is a bad answer, which may have run, and ends its connection. The body of a failed answer is not closed. Seen failing before in TestBadAnswers: endless header, long start mark, many versions (2). Conclusion: proved by go test ./internal/backend. The other cases of bad answers passed without a change.

--- a/internal/backend/cancel.go
+++ b/internal/backend/cancel.go
@@ -87,7 +87,7 @@
 	}
 	p.put(c, t.options.Connections(server))
 	var state message
-	if json.Unmarshal(body, &state) != nil {
+	if json.Unmarshal(body, &state) != nil || state.excess() != nil {
 		return replica.Reply{}, false
 	}
 	return replica.Reply{StartMark: state.StartMark, Held: state.Held, Leaving: state.Leaving}, true
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -22,13 +22,15 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	bounds *boundedConn
 	// lastRead is when the last byte was read, or when the connection was opened.
 	lastRead time.Time
 	reused   bool
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), lastRead: time.Now()}
+	bounds := &boundedConn{Conn: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(bounds, readBuffer), bounds: bounds, lastRead: time.Now()}
 }
 
 func (c *conn) close() {
@@ -57,6 +59,7 @@
 
 // read fetches one whole response. A response that ends early is an error.
 func (c *conn) read(done *exchange) {
+	c.bounds.left = maxHeaderBytes
 	if _, err := c.reader.Peek(1); err != nil {
 		done.err = err
 		return
@@ -67,11 +70,13 @@
 		done.err = err
 		return
 	}
-	defer func() { _ = response.Body.Close() }()
 	done.status = response.StatusCode
+	c.bounds.left += maxAnswerBytes
 	if done.body, done.err = readBody(response); done.err != nil {
+		// Closing the body would wait for the rest of it, and the connection is closed anyway.
 		return
 	}
+	_ = response.Body.Close()
 	c.lastRead = time.Now()
 	done.closing = response.Close || c.reader.Buffered() > 0
 }
--- a/internal/backend/wire.go
+++ b/internal/backend/wire.go
@@ -91,6 +91,9 @@
 	if err := json.Unmarshal(body, &answer); err != nil {
 		return reply, verdict.New(verdict.MayHaveRun, verdict.BadAnswer, "status %d, not JSON: %v", status, err), false
 	}
+	if failure := answer.excess(); failure != nil {
+		return reply, failure, false
+	}
 	if answer.RequestID != "" && answer.RequestID != call.RequestID {
 		return reply, verdict.New(verdict.MayHaveRun, verdict.BadAnswer, "answer to request %.64q", answer.RequestID), false
 	}
