Refuse an index that names a shard twice, and test malformed documents

Cause: a JSON object with two equal keys decodes to the last, so an index that maps one shard to two services was adopted without a sign. Ruled out: DisallowUnknownFields, which does not see equal keys. Change: such an index is refused and the one in force stays. Tables of malformed indexes, instance lists and catalogues fill gaps; those cases passed without a change, among them a catalogue of exactly 1,000,000 bytes, accepted, and one of 1,000,001, refused. Seen failing before: TestParseIndex/shard_twice.

--- a/internal/catalogue/parse_test.go
+++ b/internal/catalogue/parse_test.go
@@ -57,7 +57,16 @@
 			valid + strings.NewReplacer("-01", "-02", "140ms", "200ms", "0.95", "0.9", "[configuration]\nformat = 1\n", "").Replace(valid[:strings.Index(valid, "[zone")]),
 			[]string{"[service bib-index-02] deadline = 200ms: contradicts [service bib-index-01]", "coverage-floor = 0.9: contradicts"},
 		},
-		"too large": {valid + strings.Repeat(";", MaxBytes), []string{"at most 1000000 bytes"}},
+		"largest":   {valid + strings.Repeat(";", MaxBytes-len(valid)), nil},
+		"too large": {valid + strings.Repeat(";", MaxBytes-len(valid)+1), []string{"the document has 1000001 bytes; allowed: at most 1000000 bytes"}},
+		"below-floor, class and idempotent differ": {
+			valid + strings.NewReplacer("-01", "-02", "refuse", "partial", "interactive", "batch", "true", "false",
+				"[configuration]\nformat = 1\n", "").Replace(valid[:strings.Index(valid, "[zone")]),
+			[]string{"class = batch: contradicts", "idempotent = false: contradicts", "below-floor = partial: contradicts"},
+		},
+		"zone in and out": {valid + "[zone zone-d]\nstate = in\nstate = out\n", []string{"[zone zone-d] state: the key occurs 2 times"}},
+		"objective":       {strings.Replace(valid, "100ms", "150ms", 1), []string{"latency-objective = 150ms: longer than the deadline; allowed: at most 140ms"}},
+		"base revision":   {strings.Replace(valid, "format = 1", "format = 1\nbase-revision = -1", 1), []string{"base-revision = -1: out of range"}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/snapshot/index.go
+++ b/internal/snapshot/index.go
@@ -8,8 +8,6 @@
 	"io"
 	"maps"
 	"slices"
-
-	"github.com/medlarlatch/medlarlatch/internal/fleet"
 )
 
 // KeyPrefix is the start of the store's key of an application's index; the application's name follows.
@@ -27,8 +25,8 @@
 }
 
 type versionDocument struct {
-	Version Version                     `json:"version"`
-	Shards  map[ShardID]fleet.ServiceID `json:"shards"`
+	Version Version        `json:"version"`
+	Shards  shardsDocument `json:"shards"`
 }
 
 // NewIndex returns the index of an application after checking it. The error joins all faults.
@@ -89,7 +87,7 @@
 	}
 	versions := make([]ShardMap, 0, len(document.Versions))
 	for _, version := range document.Versions {
-		versions = append(versions, ShardMap(version))
+		versions = append(versions, ShardMap{Version: version.Version, Shards: version.Shards})
 	}
 	index, err := NewIndex(document.Application, versions...)
 	if err != nil {
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -26,6 +26,19 @@
 		},
 		"unknown key": {text: `{"application":"race","shards":{}}`, faults: []string{"unknown field"}},
 		"not JSON":    {text: `{`, faults: []string{"unexpected EOF"}},
+		"empty":       {text: ``, faults: []string{"EOF"}},
+		"null":        {text: `null`, faults: []string{"application: is empty"}},
+		"shard twice": {
+			text:   `{"application":"race","versions":[{"version":1,"shards":{"a":"x","b":"y","a":"y"}}]}`,
+			faults: []string{"3 names for 2 shards"},
+		},
+		"shards is a list": {text: `{"application":"race","versions":[{"version":1,"shards":["a"]}]}`, faults: []string{"cannot unmarshal array"}},
+		"service is no text": {
+			text: `{"application":"race","versions":[{"version":1,"shards":{"a":1}}]}`, faults: []string{"cannot unmarshal number"},
+		},
+		"no shards":         {text: `{"application":"race","versions":[{"version":1}]}`, faults: []string{"versions[0].shards: is empty"}},
+		"version below 0":   {text: `{"application":"race","versions":[{"version":-1,"shards":{"a":"x"}}]}`, faults: []string{"cannot unmarshal number -1"}},
+		"version in quotes": {text: `{"application":"race","versions":[{"version":"1","shards":{"a":"x"}}]}`, faults: []string{"cannot unmarshal string"}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
