--- a/internal/httpapi/callers.go
+++ b/internal/httpapi/callers.go
@@ -50,7 +50,8 @@
 // NewCallers returns a server of the caller interface; its listener is given to Serve.
 func NewCallers(service Service, metrics *telemetry.Telemetry) *http.Server {
 	c := callers{service: service, metrics: metrics}
-	router := mux.NewRouter()
+	// A path that is not clean is refused like any other that does not exist; a redirect would not be a refusal.
+	router := mux.NewRouter().SkipClean(true)
 	router.HandleFunc("/v1/applications/{application}/query", c.query).Methods(http.MethodPost)
 	router.HandleFunc("/v1/tickets", c.tickets).Methods(http.MethodPost)
 	router.NotFoundHandler = fixedRefusal(http.StatusNotFound, "no such path")
