Write the burn page without html/template

Cause: an idle entry instance grew from 19.7 to about 22 MB resident, above the target of 20 MB, and the program by 4.6 MB. html/template, used by one verb alone, keeps exported methods of all types in the program. Ruled out: parsing the template on first use, which changed nothing (17.1 and 17.3 MB). The test of the page is unchanged and passes.

--- a/internal/burn/page.go
+++ b/internal/burn/page.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"html/template"
 	"io"
 	"math"
 	"strings"
@@ -77,7 +76,8 @@
 		}
 	}
 	p.axes(top)
-	return pageTemplate.Execute(output, p)
+	_, err := io.WriteString(output, p.render())
+	return err
 }
 
 // overTime returns the burn rate of the plotSpan minutes up to each minute; NaN without queries.
@@ -157,48 +157,3 @@
 		}
 	}
 }
-
-var pageTemplate = template.Must(template.New("page").Funcs(template.FuncMap{
-	"time": func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05") },
-}).Parse(`<!DOCTYPE html>
-<html lang="en">
-<head>
-<meta charset="utf-8">
-<title>Burn report of {{time .Taken}} UTC</title>
-<style>
-body { font: 14px/1.4 sans-serif; margin: 2em; max-width: 1000px; }
-table { border-collapse: collapse; margin: 1em 0; }
-td, th { border: 1px solid #999; padding: 2px 8px; text-align: left; }
-td.number { text-align: right; }
-.missing { border-left: 6px solid #d55e00; padding-left: 1em; }
-.page { font-weight: bold; color: #b00000; }
-</style>
-</head>
-<body>
-<h1>Burn report</h1>
-<p>The six hours before {{time .Taken}} UTC, from {{len .Instances}} entry instances: {{range $i, $n := .Instances}}{{if $i}}, {{end}}{{$n}}{{end}}.
-Instances that have left the instance list are not counted.</p>
-{{if .Complete}}<p>No gap is known.</p>{{else}}<div class="missing"><p>Data is missing:</p><ul>
-{{range .Gaps}}<li>{{.Instance}} ({{.Zone}}) from {{time .From}} to {{time .To}}: {{.Cause}}</li>
-{{end}}</ul></div>{{end}}
-<svg viewBox="0 0 {{.Width}} {{.Height}}" role="img" aria-label="Burn rate over 5 minutes of each application">
-{{range .Missing}}<rect x="{{.X}}" y="{{$.Top}}" width="{{.Width}}" height="{{$.Inner}}" fill="#d55e00" fill-opacity="0.08"><title>{{.Label}}</title></rect>
-{{end}}{{range .Levels}}<line x1="{{$.Left}}" x2="{{$.Right}}" y1="{{.Y}}" y2="{{.Y}}" stroke="#ddd"/><text x="8" y="{{.Y}}" font-size="11">{{.Label}}</text>
-{{end}}{{range .Thresholds}}<line x1="{{$.Left}}" x2="{{$.Right}}" y1="{{.Y}}" y2="{{.Y}}" stroke="#b00000" stroke-dasharray="6 4"/><text x="{{$.Left}}" y="{{.Y}}" dy="-3" font-size="11" fill="#b00000">pages above {{.Label}}</text>
-{{end}}{{range .Hours}}<text x="{{.X}}" y="{{$.Height}}" dy="-8" font-size="11" text-anchor="middle">{{.Label}}</text>
-{{end}}{{range $c := .Curves}}{{range .Paths}}<path d="{{.}}" fill="none" stroke="{{$c.Colour}}" stroke-width="1.5"><title>{{$c.Name}}</title></path>
-{{end}}{{end}}</svg>
-<p>Burn rate of the last 5 minutes at each minute (UTC): {{range .Curves}}<span style="color: {{.Colour}}">&#9632;</span> {{.Name}} {{end}}
-A time without queries has no line; a shaded time has counts missing.</p>
-<table>
-<tr><th>objective</th><th>target</th><th>good</th><th>bad</th>{{with .Detail}}{{range (index . 0).Burn}}<th>{{.Window}}</th>{{end}}{{end}}<th>state</th></tr>
-{{range .Detail}}<tr><td>{{.Name}}</td><td>{{.Target}}</td><td class="number">{{.Good}}</td><td class="number">{{.Bad}}</td>{{range .Burn}}<td class="number">{{printf "%.2f" .Burn}}</td>{{end}}<td class="{{.Alert}}">{{.Alert}}</td></tr>
-{{end}}</table>
-{{range .Detail}}{{if .Bad}}<h2>{{.Name}}</h2>
-<table><tr><th>shard</th><th>server</th><th>zone</th><th>why</th><th>count</th></tr>
-{{range .Spenders}}<tr><td>{{.Shard}}</td><td>{{.Server}}</td><td>{{.Zone}}</td><td>{{.Why}}</td><td class="number">{{.Count}}</td></tr>
-{{end}}</table>
-<ul>{{range .Groups}}<li>{{.}}</li>{{end}}</ul>
-{{end}}{{end}}</body>
-</html>
-`))
