Tell refused callers to come back later the more are refused

Cause: with 1,000 callers, 28,000 to 41,000 refusals in 3 s competed with the answers for the processor; each caller came back after the typical latency, at least 50 ms, however many others were refused.

Change: the time grows with the smoothed number of refusals for each query that ended, up to 5 s. A test guards it.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -40,6 +40,8 @@
 	probeShare    = 0.25
 	// leastRetryAfter keeps callers from coming back in a tight loop when queries are very short.
 	leastRetryAfter = 50 * time.Millisecond
+	// mostRetryAfter bounds the time to come back, which grows with the refusals for each query that ended.
+	mostRetryAfter = 5 * time.Second
 )
 
 // share is the part of the bound that each class may fill, so that batch work leaves room for
@@ -106,6 +108,9 @@
 	total    float64 // sum of the latencies in the window
 	ended    int
 	overload int // overloaded queries in the window
+	refused  int // refusals in the window
+	// pressure is the smoothed number of refusals for each ended query.
+	pressure float64
 	full     bool
 	// probing is set while the unloaded latency is measured; probeFrom is when the queries of the
 	// larger bound had drained, zero before.
@@ -170,7 +175,9 @@
 }
 
 func (l *Limiter) refuse(format string, args ...any) *verdict.Error {
-	after := max(time.Duration(l.typical), leastRetryAfter)
+	// Callers who come back after the same time whatever their number keep the instance busy with refusals.
+	l.refused++
+	after := min(time.Duration(float64(max(time.Duration(l.typical), leastRetryAfter))*(1+l.pressure)), mostRetryAfter)
 	return verdict.New(verdict.NotRun, verdict.Overloaded, format, args...).WithRetryAfter(after)
 }
 
@@ -271,6 +278,8 @@
 }
 
 func (l *Limiter) reset() {
+	l.pressure += (float64(l.refused)/float64(max(l.ended, 1)) - l.pressure) / 2
+	l.refused = 0
 	l.total, l.ended, l.overload, l.full = 0, 0, 0, false
 }
 
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -177,3 +177,27 @@
 		is.Equal(group.State().InFlight, 2)
 	})
 }
+
+// Guards against callers who are told to come back soon however many they are: their refusals then take the processor
+// time that answers need.
+func TestRetryAfterGrowsWithRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limiter := New(Limits{Min: 1, Initial: 1, Max: 1})
+		deadline := func() time.Time { return time.Now().Add(time.Second) }
+		var first, last time.Duration
+		for range 10 * window {
+			permit, refusal := limiter.Admit(catalogue.Interactive, deadline())
+			is.New(t).True(refusal == nil)
+			for range 20 {
+				_, refusal = limiter.Admit(catalogue.Interactive, deadline())
+				last = refusal.RetryAfter
+			}
+			if first == 0 {
+				first = last
+			}
+			time.Sleep(10 * time.Millisecond)
+			permit.Done(Completed)
+		}
+		is.New(t).True(last > 10*first && last <= mostRetryAfter)
+	})
+}
