--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -76,6 +76,9 @@
 	if entry, ok := view.Catalogue.Service(services[0]); ok {
 		class = entry.Class
 	}
+	if refusal := tooShort(request); refusal != nil {
+		return nil, refusal
+	}
 	permit, failure := i.admission.Admit(application, class, request.Deadline)
 	if failure != nil {
 		return nil, &api.Refusal{
@@ -104,6 +107,18 @@
 	return body, nil
 }
 
+// tooShort refuses a query that no load would let through. Admission would take it as a sign of overload and tell the
+// caller when to come back.
+func tooShort(request httpapi.Request) *api.Refusal {
+	left := time.Until(request.Deadline)
+	if left <= 0 || left >= query.LeastTime {
+		return nil
+	}
+	return &api.Refusal{
+		ID: request.Query.ID, Verdict: verdict.NotRun, Reason: verdict.DeadlineTooShort, Detail: "less than 2 ms left", Field: "deadline-millis",
+	}
+}
+
 // executeTicket runs a ticketed request as this instance's own query.
 func (i *Instance) executeTicket(ctx context.Context, call ticket.Call) ticket.Outcome {
 	parsed, refusal := httpapi.ParseQuery(call.Body)
--- a/internal/query/engine.go
+++ b/internal/query/engine.go
@@ -117,7 +117,7 @@
 	if limit := now.Add(app.policy.Deadline); app.policy.Deadline > 0 && limit.Before(deadline) {
 		deadline = limit
 	}
-	if deadline.Sub(now) < leastTime {
+	if deadline.Sub(now) < LeastTime {
 		return api.Answer{}, refuse(request, verdict.DeadlineTooShort, 0, "less than 2 ms left")
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/query/handle.go
+++ b/internal/query/handle.go
@@ -111,7 +111,7 @@
 	if !q.idempotent && shard.verdict != verdict.NotRun {
 		return false
 	}
-	if q.partDeadline.Sub(now) < leastTime {
+	if q.partDeadline.Sub(now) < LeastTime {
 		return false
 	}
 	free := failedBeforeServer(err) || err.Reason == verdict.VersionNotHeld ||
@@ -140,7 +140,7 @@
 // mayMove tells whether the query can still be moved to another version. A query that is not idempotent
 // moves only while no part can have run.
 func (q *query) mayMove(now time.Time) bool {
-	if !q.wantsMove || len(q.ruledOut) > mostMoves || q.partDeadline.Sub(now) < 2*leastTime {
+	if !q.wantsMove || len(q.ruledOut) > mostMoves || q.partDeadline.Sub(now) < 2*LeastTime {
 		return false
 	}
 	if !q.idempotent && !q.untouched() {
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// leastTime is the shortest deadline that is tried: one zone crossing each way.
-	leastTime = 2 * time.Millisecond
+	// LeastTime is the shortest deadline that is tried: one zone crossing each way.
+	LeastTime = 2 * time.Millisecond
 	// wayBack is the time kept for results to come back across zones and for composing the answer.
 	wayBack = 4 * time.Millisecond
 	// mostMoves bounds how often one query is moved to another version.
