Share the flags of the verbs that start a whole system

Cause: demo and cluster parsed the same flags in the same lines (a duplicate that the newcomer's read-through found), and two test fields had figurative names. Ruled out: a type for the verbs' options, which two verbs do not need.

--- a/internal/configuration/capacity_bench_test.go
+++ b/internal/configuration/capacity_bench_test.go
@@ -153,7 +153,7 @@
 		{"undisturbed", 16, 250 * time.Millisecond, nothing, nothing},
 		{"one-relay-frozen", 16, 250 * time.Millisecond, func(c *cluster) { c.freeze(1) }, nothing},
 		{"all-relays-of-a-zone-frozen", 16, 250 * time.Millisecond, func(c *cluster) { c.freeze(2) }, nothing},
-		{"notifications-lost", 16, 250 * time.Millisecond, func(c *cluster) { c.mutex.Lock(); c.deaf = true; c.mutex.Unlock() }, nothing},
+		{"notifications-lost", 16, 250 * time.Millisecond, func(c *cluster) { c.mutex.Lock(); c.dropsNotifications = true; c.mutex.Unlock() }, nothing},
 		{"zone-cut-for-an-hour", 4, time.Second, func(c *cluster) { c.cutZone("a") }, func(c *cluster) { time.Sleep(time.Hour); c.heal() }},
 	}
 	for _, tc := range cases {
--- a/internal/configuration/cluster_test.go
+++ b/internal/configuration/cluster_test.go
@@ -28,8 +28,8 @@
 	mutex sync.Mutex
 	// cut holds pairs of zones that cannot reach each other.
 	cut map[[2]fleet.ZoneID]bool
-	// deaf drops the notifications between peers.
-	deaf bool
+	// dropsNotifications is set while notifications between peers are lost.
+	dropsNotifications bool
 	// violations are the breaches that were seen while running.
 	violations []string
 }
@@ -104,7 +104,7 @@
 	c.store.SetFaults(store.Faults{})
 	c.mutex.Lock()
 	clear(c.cut)
-	c.deaf = false
+	c.dropsNotifications = false
 	c.mutex.Unlock()
 	for _, n := range c.nodes {
 		n.transport.Cut.Store(false)
@@ -230,9 +230,9 @@
 func (n *node) Tell(ctx context.Context, peer fleet.InstanceID, revisions configuration.Revisions) error {
 	other, err := n.deliver(ctx, peer)
 	n.cluster.mutex.Lock()
-	deaf := n.cluster.deaf
+	dropsNotifications := n.cluster.dropsNotifications
 	n.cluster.mutex.Unlock()
-	if err == nil && !deaf {
+	if err == nil && !dropsNotifications {
 		other.spreader.Heard(n.entry.ID, revisions)
 	}
 	return err
--- a/internal/configuration/spreader_test.go
+++ b/internal/configuration/spreader_test.go
@@ -22,14 +22,14 @@
 func TestSpreadTime(t *testing.T) {
 	cases := map[string]func(c *cluster){
 		"no failure":         func(*cluster) {},
-		"notifications lost": func(c *cluster) { c.deaf = true },
+		"notifications lost": func(c *cluster) { c.dropsNotifications = true },
 		"a zone cut off from the store": func(c *cluster) {
 			for _, n := range c.nodes {
 				n.transport.Cut.Store(n.entry.Zone == "a")
 			}
 		},
 		"two zones cut off from the store, notifications lost": func(c *cluster) {
-			c.deaf = true
+			c.dropsNotifications = true
 			for _, n := range c.nodes {
 				n.transport.Cut.Store(n.entry.Zone != "c")
 			}
--- a/internal/replica/owner_test.go
+++ b/internal/replica/owner_test.go
@@ -27,8 +27,8 @@
 	took        time.Duration
 	leaving     bool
 	fails       *verdict.Error
-	// deaf servers keep working after the caller has given up.
-	deaf bool
+	// ignoresCancel keeps the server working after the caller has given up.
+	ignoresCancel bool
 }
 
 func (b *backend) serve(ctx context.Context) (Reply, error) {
@@ -36,10 +36,10 @@
 	b.inFlight++
 	b.calls++
 	b.peak = max(b.peak, b.inFlight)
-	took, deaf := b.took, b.deaf
+	took, ignoresCancel := b.took, b.ignoresCancel
 	b.mutex.Unlock()
 	done := ctx.Done()
-	if deaf {
+	if ignoresCancel {
 		done = nil
 	}
 	var err error
--- a/internal/replica/patience_test.go
+++ b/internal/replica/patience_test.go
@@ -17,7 +17,7 @@
 		is := is.New(t)
 		r := newRig(1, 1)
 		r.warm("s0")
-		r.servers["s0"].set(func(b *backend) { b.deaf, b.took = true, time.Second })
+		r.servers["s0"].set(func(b *backend) { b.ignoresCancel, b.took = true, time.Second })
 		const left = 400 * time.Millisecond
 		r.send("s0", 1, left, nil)
 		synctest.Wait()
--- a/internal/replica/slots_test.go
+++ b/internal/replica/slots_test.go
@@ -22,7 +22,7 @@
 		r := newRig(1, 2)
 		r.warm("s0")
 		server := r.servers["s0"]
-		server.set(func(b *backend) { b.deaf, b.took = true, 300*time.Millisecond })
+		server.set(func(b *backend) { b.ignoresCancel, b.took = true, 300*time.Millisecond })
 		first := r.send("s0", 1, time.Second, nil)
 		r.send("s0", 1, 50*time.Millisecond, nil)
 		synctest.Wait()
@@ -54,7 +54,7 @@
 				case 1:
 					backend.mutex.Lock()
 					backend.took = time.Duration(1+random.IntN(60)) * time.Millisecond
-					backend.deaf = random.IntN(2) == 0
+					backend.ignoresCancel = random.IntN(2) == 0
 					backend.fails = nil
 					if random.IntN(3) == 0 {
 						reasons := []verdict.Reason{verdict.Shedding, verdict.ConnectFailed, verdict.SilentConnection}
@@ -103,7 +103,7 @@
 		r.warm("s0")
 		server := r.servers["s0"]
 		// The calls of the frozen owner last as long as the pause and the claim delay together.
-		server.set(func(b *backend) { b.took, b.deaf = 3*time.Second, true })
+		server.set(func(b *backend) { b.took, b.ignoresCancel = 3*time.Second, true })
 		r.send("s0", 6, 4*time.Second, nil)
 		synctest.Wait()
 		r.change(func(r *rig) { r.stale = true })
--- a/internal/standin/program/demo.go
+++ b/internal/standin/program/demo.go
@@ -41,25 +41,12 @@
 }
 
 func runDemo(ctx context.Context, flags *flag.FlagSet, arguments []string) error {
-	seed := flags.Uint64("seed", 1, "seed of the data, the queries and the service times")
-	serve := flags.String("serve", "", "program whose verb serve runs the entry instances; empty means this one's verb entry")
-	logs := flags.Bool("logs", false, "print the processes' log lines")
-	if err := flags.Parse(arguments); err != nil {
-		return err
-	}
-	program, err := os.Executable()
+	options, err := processOptions(flags, arguments)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, demoLimit)
 	defer cancel()
-	options := cluster.Options{
-		Program: program, Serve: *serve, Seed: *seed,
-		Zones: []string{"zone-a", "zone-a", "zone-b", "zone-c"}, Versions: []uint64{1}, BalancerLag: time.Second,
-	}
-	if *logs {
-		options.Logs = os.Stderr
-	}
 	started := time.Now()
 	c, err := cluster.Start(ctx, options)
 	defer c.Close()
@@ -94,6 +81,25 @@
 	return nil
 }
 
+// processOptions parses the flags of the verbs that start the processes of a whole system.
+func processOptions(flags *flag.FlagSet, arguments []string) (cluster.Options, error) {
+	options := cluster.Options{
+		Zones: []string{"zone-a", "zone-a", "zone-b", "zone-c"}, Versions: []uint64{1}, BalancerLag: time.Second,
+	}
+	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the data, the queries and the service times")
+	flags.StringVar(&options.Serve, "serve", "", "program whose verb serve runs the entry instances; empty means this one's verb entry")
+	logs := flags.Bool("logs", false, "print the processes' log lines")
+	if err := flags.Parse(arguments); err != nil {
+		return options, err
+	}
+	if *logs {
+		options.Logs = os.Stderr
+	}
+	var err error
+	options.Program, err = os.Executable()
+	return options, err
+}
+
 // phase is one part of the demo: a change, then the load, then the change back.
 type phase struct {
 	name    string
--- a/internal/standin/program/steer.go
+++ b/internal/standin/program/steer.go
@@ -22,24 +22,12 @@
 
 // runCluster lets people try the operators' verbs, and makes the transcripts of the operators' pages.
 func runCluster(ctx context.Context, flags *flag.FlagSet, arguments []string) error {
-	seed := flags.Uint64("seed", 1, "seed of the data, the queries and the service times")
-	serve := flags.String("serve", "", "program whose verb serve runs the entry instances; empty means this one's verb entry")
-	logs := flags.Bool("logs", false, "print the processes' log lines")
-	if err := flags.Parse(arguments); err != nil {
-		return err
-	}
-	program, err := os.Executable()
+	options, err := processOptions(flags, arguments)
 	if err != nil {
 		return err
 	}
-	options := cluster.Options{
-		Program: program, Serve: *serve, Seed: *seed, Applications: []string{"marshal-search", "handheld-tokens", "corral-ledger"},
-		Zones: []string{"zone-a", "zone-a", "zone-b", "zone-c"}, Versions: []uint64{1}, BalancerLag: time.Second,
-		Relays: true,
-	}
-	if *logs {
-		options.Logs = os.Stderr
-	}
+	options.Applications = []string{"marshal-search", "handheld-tokens", "corral-ledger"}
+	options.Relays = true
 	c, err := cluster.Start(ctx, options)
 	defer c.Close()
 	if err != nil {
