--- a/internal/entry/tls_test.go
+++ b/internal/entry/tls_test.go
@@ -89,19 +89,19 @@
 	later := time.Now().Add(time.Hour)
 	first := d.run(t, "entry-1", "zone-a", ours.settle(later, ours))
 	second := d.run(t, "entry-2", "zone-a", ours.settle(later, ours))
-	strangers := map[fleet.InstanceID]*Instance{
+	refused := map[fleet.InstanceID]*Instance{
 		"entry-3": d.run(t, "entry-3", "zone-a", func(*settings.Settings) {}),                   // no TLS
 		"entry-4": d.run(t, "entry-4", "zone-a", others.settle(later, ours)),                    // another authority
 		"entry-5": d.run(t, "entry-5", "zone-a", ours.settle(time.Now().Add(-time.Hour), ours)), // expired
 	}
 	eventually(t, "peers with certificates reach each other", func() bool { return first.reaches("entry-2") && second.reaches("entry-1") })
-	for id, stranger := range strangers {
-		eventually(t, string(id)+" has tried", func() bool { return stranger.node.Counts().DialsFailed >= 2 })
+	for id, instance := range refused {
+		eventually(t, string(id)+" has tried", func() bool { return instance.node.Counts().DialsFailed >= 2 })
 	}
 	// A newly listed instance counts as reachable at first.
-	eventually(t, "strangers are out of reach", func() bool {
-		for id, stranger := range strangers {
-			if first.reaches(id) || second.reaches(id) || stranger.reaches("entry-1") || stranger.reaches("entry-2") {
+	eventually(t, "refused instances are out of reach", func() bool {
+		for id, instance := range refused {
+			if first.reaches(id) || second.reaches(id) || instance.reaches("entry-1") || instance.reaches("entry-2") {
 				return false
 			}
 		}
--- a/internal/peer/fault_test.go
+++ b/internal/peer/fault_test.go
@@ -198,7 +198,7 @@
 }
 
 // Guards against use of the peer methods without the key, and against proofs that are reflected.
-func TestHandshakeOfAStranger(t *testing.T) {
+func TestHandshakeWithoutTheKey(t *testing.T) {
 	greeting := `{"jsonrpc":"2.0","method":"hello","id":1,"params":{"instance":"a","incarnation":"` +
 		ticket.Incarnation{}.String() + `","nonce":"` + strings.Repeat("A", 42) + `A="}}`
 	proof := func(encoded string) string {
--- a/internal/peer/pending.go
+++ b/internal/peer/pending.go
@@ -2,9 +2,9 @@
 
 import "slices"
 
-// Connections before the handshake have a bound of their own, so that strangers can neither use up the places of
+// Connections before the handshake have a bound of their own, so that unauthenticated clients can neither use up the places of
 // peers nor keep peers out: at the bound the oldest of them gives way. A peer's handshake takes a few milliseconds,
-// so strangers would have to open thousands of connections a second to push it out.
+// so they would have to open thousands of connections a second to push it out.
 
 // accept notes a new inbound connection and returns the one that gives way, if any. The caller holds the lock.
 func (n *Node) accept(l *link) (evicted *link) {
--- a/internal/peer/pending_test.go
+++ b/internal/peer/pending_test.go
@@ -24,21 +24,21 @@
 	return node
 }
 
-// Guards against strangers who shut out peers by holding connections without a handshake, and against a bound that
+// Guards against unauthenticated clients that shut out peers by holding connections without a handshake, and against a bound that
 // can be passed.
-func TestStrangersShutNobodyOut(t *testing.T) {
+func TestUnauthenticatedConnectionsShutNobodyOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := newNetwork()
 		b := limited(t, n, Limits{Handshakes: 4, Connections: 2})
 		var held []net.Conn
-		stranger := func() {
+		unauthenticated := func() {
 			connection, err := n.DialContext(t.Context(), "tcp", "b")
 			is.NoErr(err)
 			held = append(held, connection)
 		}
 		for range 50 {
-			stranger()
+			unauthenticated()
 		}
 		synctest.Wait()
 		b.mu.Lock()
@@ -51,9 +51,9 @@
 			begun := time.Now()
 			_, err := node.Heartbeat(t.Context(), "b", Heartbeat{})
 			is.NoErr(err)
-			is.Equal(time.Since(begun), time.Duration(0)) // at once, not after the strangers' second
+			is.Equal(time.Since(begun), time.Duration(0)) // at once, not after the handshake's second
 			for range 50 {
-				stranger()
+				unauthenticated()
 			}
 			_, err = node.Heartbeat(t.Context(), "b", Heartbeat{})
 			is.NoErr(err) // an admitted peer is not pushed out
@@ -64,7 +64,7 @@
 		is.Equal(verdict.Of(err), verdict.NotRun) // both places of peers are taken
 		time.Sleep(2 * time.Second)
 		b.mu.Lock()
-		is.Equal(len(b.pending), 0) // the strangers' time is over
+		is.Equal(len(b.pending), 0) // their time is over
 		is.Equal(len(b.inbound), 2)
 		b.mu.Unlock()
 		b.Close()
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -92,7 +92,7 @@
 	if system, ok := connection.(syscall.Conn); ok {
 		s.raw, _ = system.SyscallConn()
 	}
-	// Before the handshake a stranger can make this process hold only this much.
+	// Before the handshake an unauthenticated client can make this process hold only this much.
 	s.maxFrame.Store(4 << 10)
 	go s.write()
 	return s
