Serve the users' platform by a thin whole path

Cause: the program could not start on the platform. Each entry instance now sends for itself; routes, replicas and zones come from the platform's store by a paced watch.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -23,9 +23,13 @@
 	net.Conn
 	reader *bufio.Reader
 	bounds *boundedConn
+	// idleFor is how long the server keeps the connection open without a request; zero if it did not say.
+	idleFor time.Duration
 	// lastRead is when the last byte was read, or when the connection was opened.
 	lastRead time.Time
 	reused   bool
+	// asked is the request in progress where its method bears on the answer's body; nil stands for GET.
+	asked *http.Request
 }
 
 func newConn(raw net.Conn) *conn {
@@ -43,6 +47,7 @@
 	// began is set once a byte of the answer was read.
 	began  bool
 	status int
+	header http.Header
 	body   []byte
 	// closing is set when the connection cannot carry another request.
 	closing bool
@@ -65,12 +70,12 @@
 		return
 	}
 	done.began = true
-	response, err := http.ReadResponse(c.reader, nil)
+	response, err := http.ReadResponse(c.reader, c.asked)
 	if err != nil {
 		done.err = err
 		return
 	}
-	done.status = response.StatusCode
+	done.status, done.header = response.StatusCode, response.Header
 	c.bounds.left += maxAnswerBytes
 	if done.body, done.err = readBody(response); done.err != nil {
 		// Closing the body would wait for the rest of it, and the connection is closed anyway.
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,208 @@
+// Package directory holds what one entry instance believes of the fleet: the configuration in force, the replicas of
+// each service, the availability zones that are out and the other entry instances.
+//
+// A Directory is fed with changes in the order of the store's revisions by one goroutine and publishes immutable views.
+// It decides how an entry that lapsed during an outage of the store is treated. It does no I/O.
+package directory
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/routing"
+)
+
+// lapseGrace is how long an entry that lapsed is kept after the store has come back. A live replica registers again
+// within about two seconds; longer than three seconds would go beyond the bound on leaving replicas.
+const lapseGrace = 2500 * time.Millisecond
+
+// Replica is one registered replica of a service. Values are immutable.
+type Replica struct {
+	ID      fleet.ServerID
+	Service fleet.ServiceID
+	Zone    fleet.ZoneID
+	Address string
+	// Slots is the number of requests that the replica processes at a time.
+	Slots int
+	// Draining replicas get no new request.
+	Draining bool
+	// ColdUntil is when the replica is warm, by its last word.
+	ColdUntil time.Time
+	// Born distinguishes the starts of a replica that keeps its id; Unix milliseconds.
+	Born int64
+}
+
+// SameProcess tells whether two entries speak of the same start of the same replica.
+func (r Replica) SameProcess(other Replica) bool {
+	return r.ID == other.ID && r.Service == other.Service && r.Address == other.Address && r.Born == other.Born
+}
+
+// Change is one change that the store reported. Exactly one of Table, Replica and Zone is set, or none where an entry
+// cannot be used. Gone says that the key was deleted.
+type Change struct {
+	Table *routing.Table
+	// Replica is the key of a registration; Entry is nil if it is gone or cannot be used.
+	Replica fleet.ServerID
+	Entry   *Replica
+	// Zone is taken out, or back in with Gone.
+	Zone fleet.ZoneID
+	Gone bool
+}
+
+// View is what requests see. It is immutable.
+type View struct {
+	Table    *routing.Table
+	Replicas map[fleet.ServiceID][]Replica
+	ZonesOut []fleet.ZoneID
+}
+
+// Directory is the state behind the views. One goroutine uses it.
+type Directory struct {
+	table    *routing.Table
+	replicas map[fleet.ServerID]Replica
+	lapsed   map[fleet.ServerID]struct{}
+	zonesOut map[fleet.ZoneID]struct{}
+	// restored is when the store answered again after an outage.
+	restored time.Time
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	return &Directory{
+		replicas: make(map[fleet.ServerID]Replica),
+		lapsed:   make(map[fleet.ServerID]struct{}),
+		zonesOut: make(map[fleet.ZoneID]struct{}),
+	}
+}
+
+// Ready tells whether requests can be served at all.
+func (d *Directory) Ready() bool { return d.table != nil }
+
+// Table returns the configuration in force, or nil.
+func (d *Directory) Table() *routing.Table { return d.table }
+
+// Restored records that the store answers again after an outage.
+func (d *Directory) Restored(now time.Time) { d.restored = now }
+
+// Apply takes changes in the order of their revisions and tells whether the view is another one afterwards. Most
+// changes are heartbeats that alter nothing.
+func (d *Directory) Apply(changes []Change, now time.Time) bool {
+	altered := false
+	for i := range changes {
+		altered = d.apply(&changes[i], now) || altered
+	}
+	return altered
+}
+
+func (d *Directory) apply(change *Change, now time.Time) bool {
+	switch {
+	case change.Table != nil:
+		if d.table != nil && change.Table.Version() <= d.table.Version() {
+			return false
+		}
+		d.table = change.Table
+		return true
+	case change.Zone != "":
+		return d.setZone(change.Zone, !change.Gone)
+	case change.Entry != nil:
+		former, listed := d.replicas[change.Replica]
+		d.replicas[change.Replica] = *change.Entry
+		delete(d.lapsed, change.Replica)
+		return !listed || !former.alike(*change.Entry)
+	case change.Replica != "":
+		return d.remove(change.Replica, now)
+	}
+	return false
+}
+
+func (d *Directory) setZone(zone fleet.ZoneID, out bool) bool {
+	_, was := d.zonesOut[zone]
+	if out {
+		d.zonesOut[zone] = struct{}{}
+	} else {
+		delete(d.zonesOut, zone)
+	}
+	return was != out
+}
+
+// coldTolerance is the difference between two words on the end of the warm-up that is no change: heartbeats are late by
+// some time.
+const coldTolerance = 300 * time.Millisecond
+
+// alike tells whether requests are treated the same by both entries.
+func (r Replica) alike(other Replica) bool {
+	apart := r.ColdUntil.Sub(other.ColdUntil).Abs()
+	r.ColdUntil = other.ColdUntil
+	return r == other && apart < coldTolerance
+}
+
+// remove drops a replica, or keeps it for a while where its entry may have lapsed only because the store was away.
+func (d *Directory) remove(id fleet.ServerID, now time.Time) bool {
+	if _, known := d.replicas[id]; !known {
+		return false
+	}
+	if now.Before(d.restored.Add(lapseGrace)) {
+		d.lapsed[id] = struct{}{}
+		return false
+	}
+	delete(d.replicas, id)
+	return true
+}
+
+// Replace takes a whole list of the store: what it does not name is gone. It tells whether the view is another one.
+func (d *Directory) Replace(changes []Change, now time.Time) bool {
+	listed := make(map[fleet.ServerID]struct{}, len(changes))
+	out := make(map[fleet.ZoneID]struct{})
+	for i := range changes {
+		if changes[i].Entry != nil {
+			listed[changes[i].Replica] = struct{}{}
+		}
+		if changes[i].Zone != "" {
+			out[changes[i].Zone] = struct{}{}
+		}
+	}
+	altered := !maps.Equal(out, d.zonesOut)
+	d.zonesOut = out
+	altered = d.Apply(changes, now) || altered
+	for id := range maps.Clone(d.replicas) {
+		if _, ok := listed[id]; !ok {
+			altered = d.remove(id, now) || altered
+		}
+	}
+	return altered
+}
+
+// Replicas returns the number of registered replicas.
+func (d *Directory) Replicas() int { return len(d.replicas) }
+
+// Expire drops the entries that were not renewed in time after an outage. It returns how many.
+func (d *Directory) Expire(now time.Time) int {
+	if len(d.lapsed) == 0 || now.Before(d.restored.Add(lapseGrace)) {
+		return 0
+	}
+	dropped := len(d.lapsed)
+	for id := range d.lapsed {
+		delete(d.replicas, id)
+	}
+	clear(d.lapsed)
+	return dropped
+}
+
+// Pending tells whether lapsed entries wait for Expire.
+func (d *Directory) Pending() bool { return len(d.lapsed) > 0 }
+
+// View returns what requests may use now: no draining replica and none in a zone that is out.
+func (d *Directory) View() *View {
+	v := &View{Table: d.table, Replicas: make(map[fleet.ServiceID][]Replica)}
+	for _, id := range slices.Sorted(maps.Keys(d.replicas)) {
+		known := d.replicas[id]
+		if _, out := d.zonesOut[known.Zone]; known.Draining || out {
+			continue
+		}
+		v.Replicas[known.Service] = append(v.Replicas[known.Service], known)
+	}
+	v.ZonesOut = slices.Sorted(maps.Keys(d.zonesOut))
+	return v
+}
--- /dev/null
+++ b/internal/lookup/engine.go
@@ -0,0 +1,122 @@
+package lookup
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/routing"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+const (
+	// wayBack is the time kept for the answer's way to the caller and for the caller's connection set-up, which counts
+	// in the caller's objective.
+	wayBack = 9 * time.Millisecond
+	// lastMoment is the time kept before the deadline for a final refusal or a late answer.
+	lastMoment = 20 * time.Millisecond
+	// linger is how long sends that are still running go on after their request was answered. Their answers show when a
+	// pause ends and keep the connections; a pause is shorter.
+	linger = 300 * time.Millisecond
+	// defaultInstances stands for the number of entry instances until it is known.
+	defaultInstances = 8
+	// mostRequests bounds the requests in progress in one process; each holds its parts in memory.
+	mostRequests = 3000
+)
+
+// Options are what an Engine is made of.
+type Options struct {
+	Zone   fleet.ZoneID
+	Sender Sender
+	// Extra bounds the sends beyond the first of each request, for each service over all instances.
+	Extra Allowance
+	// Forget is called for each replica that is gone; it may be nil.
+	Forget func(fleet.ServerID)
+	Random *rand.Rand
+}
+
+// Counters counts the engine's work since its start.
+type Counters struct {
+	Requests, Sends, Hedges, Retries, Starved atomic.Int64
+}
+
+// Engine runs requests. It is safe for concurrent use.
+type Engine struct {
+	zone      fleet.ZoneID
+	sender    Sender
+	extra     Allowance
+	forgotten func(fleet.ServerID)
+	plan      atomic.Pointer[plan]
+	instances atomic.Int64
+	draw      atomic.Uint64
+	running   atomic.Int64
+	counters  Counters
+	paces     sync.Map // name of a route to *pace
+
+	// updating guards the states that outlive a plan.
+	updating sync.Mutex
+	loads    map[fleet.ServerID]known
+	budgets  map[fleet.ServiceID]*budget
+}
+
+// New returns an engine that knows no replica until Update is called.
+func New(options Options) *Engine {
+	e := &Engine{
+		zone:      options.Zone,
+		sender:    options.Sender,
+		extra:     options.Extra,
+		forgotten: options.Forget,
+		loads:     make(map[fleet.ServerID]known),
+		budgets:   make(map[fleet.ServiceID]*budget),
+	}
+	e.draw.Store(options.Random.Uint64())
+	e.instances.Store(defaultInstances)
+	e.plan.Store(&plan{})
+	return e
+}
+
+// Counters returns the engine's counters; they go on counting.
+func (e *Engine) Counters() *Counters { return &e.counters }
+
+// Instances returns the number of entry instances that bounds are divided among.
+func (e *Engine) Instances() int { return int(e.instances.Load()) }
+
+// SetInstances says how many entry instances there may be.
+func (e *Engine) SetInstances(count int) { e.instances.Store(int64(max(count, 1))) }
+
+// Running returns the number of requests in progress.
+func (e *Engine) Running() int64 { return e.running.Load() }
+
+func (e *Engine) forget(id fleet.ServerID) {
+	if e.forgotten != nil {
+		e.forgotten(id)
+	}
+}
+
+func (e *Engine) paceOf(route *routing.Route) *pace {
+	if found, ok := e.paces.Load(route.Name); ok {
+		return found.(*pace)
+	}
+	found, _ := e.paces.LoadOrStore(route.Name, newPace(route))
+	return found.(*pace)
+}
+
+// Run runs one request on the calling goroutine. The end of ctx means that the caller has left.
+func (e *Engine) Run(ctx context.Context, request *Request) Result {
+	e.counters.Requests.Add(1)
+	if e.running.Add(1) > mostRequests {
+		e.running.Add(-1)
+		return Result{Failure: verdict.New(verdict.NotRun, verdict.Overloaded, "%d requests in progress", mostRequests).WithRetryAfter(retryAfter)}
+	}
+	defer e.running.Add(-1)
+	if len(request.Route.Shards) > 0 {
+		return newFanout(e, ctx, request).run()
+	}
+	return newSingle(e, ctx, request).run()
+}
+
+// retryAfter is when a caller comes back where nothing better is known.
+const retryAfter = 250 * time.Millisecond
--- /dev/null
+++ b/internal/lookup/fanout.go
@@ -0,0 +1,374 @@
+package lookup
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+const (
+	// hedgeShare is the part of the objective after which a part that has no answer is sent to another replica, if the
+	// first one is not found stalled before.
+	hedgeShare = 0.38
+	// checkInterval is how often a request looks whether replicas that it waits for have stalled.
+	checkInterval = 8 * time.Millisecond
+	// rejectedPause is the pause before a replica that rejected a part is asked again.
+	rejectedPause = 15 * time.Millisecond
+	// extraSends is how many sends beyond the route's attempts a part may take when some were not run.
+	extraSends = 2
+)
+
+// fanout is the state of one request to all shards. Only the goroutine that called Engine.Run uses it.
+type fanout struct {
+	engine    *Engine
+	ctx       context.Context
+	cancel    context.CancelFunc
+	request   *Request
+	usual     *pace
+	expected  time.Duration
+	composeAt time.Time
+	giveUpAt  time.Time
+	floor     int
+	parts     []part
+	arrivals  chan arrival
+	answered  int
+	failed    int
+	ran       bool
+	trace     Trace
+}
+
+// part is the state of one shard of a request.
+type part struct {
+	service  fleet.ServiceID
+	attempts []*attempt
+	tried    []*load
+	mayRun   int // sends that the replica may have run
+	answer   *Outcome
+	failed   bool
+	retryAt  time.Time
+	reason   verdict.Reason
+	starved  bool
+	// Most parts take one or two sends; room for them here spares allocations.
+	attemptRoom [2]*attempt
+	triedRoom   [2]*load
+}
+
+func newFanout(e *Engine, ctx context.Context, request *Request) *fanout {
+	route := request.Route
+	f := &fanout{
+		engine:   e,
+		request:  request,
+		usual:    e.paceOf(route),
+		giveUpAt: request.Deadline.Add(-lastMoment),
+		floor:    max(1, int(math.Ceil(route.Floor*float64(len(route.Shards))-1e-9))),
+		parts:    make([]part, len(route.Shards)),
+		arrivals: make(chan arrival, len(route.Shards)*(max(route.Attempts, 1)+extraSends)),
+	}
+	f.ctx, f.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	context.AfterFunc(ctx, f.cancel)
+	f.expected = f.usual.usual()
+	f.composeAt = f.giveUpAt
+	if objective := request.Arrived.Add(route.Objective - wayBack); route.Objective > 0 && objective.Before(f.giveUpAt) {
+		f.composeAt = objective
+	}
+	f.trace.Shards = len(f.parts)
+	return f
+}
+
+func (f *fanout) run() Result {
+	now := time.Now()
+	if refusal := f.reachable(now); refusal != nil {
+		f.cancel()
+		return f.refuse(refusal)
+	}
+	for i := range f.parts {
+		f.start(i, now)
+	}
+	timer := time.NewTimer(checkInterval)
+	defer timer.Stop()
+	for {
+		if result, ended := f.ended(time.Now()); ended {
+			return result
+		}
+		timer.Reset(f.untilNextCheck(time.Now()))
+		select {
+		case a := <-f.arrivals:
+			f.handle(&a, time.Now())
+			f.drain()
+		case <-timer.C:
+		case <-f.ctx.Done():
+			return f.refuse(verdict.New(f.verdict(), verdict.Cancelled, "the caller has left"))
+		}
+		f.check(time.Now())
+	}
+}
+
+// reachable refuses a request that cannot reach its floor before anything is sent.
+func (f *fanout) reachable(now time.Time) *verdict.Error {
+	current := f.engine.plan.Load()
+	usable := 0
+	for _, service := range f.request.Route.Shards {
+		g := current.groups[service]
+		if g == nil {
+			continue
+		}
+		g.extra.request(now, f.engine.extra)
+		for i := range g.members {
+			if may, _ := g.members[i].load.usable(now); may {
+				usable++
+				break
+			}
+		}
+	}
+	if usable >= f.floor {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.NoReplica, "%d of %d shards have a replica, %d are needed", usable, len(f.parts), f.floor).
+		WithRetryAfter(retryAfter)
+}
+
+func (f *fanout) start(i int, now time.Time) {
+	p := &f.parts[i]
+	p.service = f.request.Route.Shards[i]
+	p.attempts, p.tried = p.attemptRoom[:0], p.triedRoom[:0]
+	chosen, g := f.engine.choose(p.service, nil, false, f.expected, now)
+	if chosen == nil {
+		f.fail(p, verdict.NoReplica)
+		return
+	}
+	f.send(i, chosen, g, false, now)
+}
+
+func (f *fanout) send(i int, to *member, g *group, hedge bool, now time.Time) {
+	p := &f.parts[i]
+	a := &attempt{to: to, sent: now, expected: f.expected, hedge: hedge}
+	p.attempts = append(p.attempts, a)
+	p.tried = append(p.tried, to.load)
+	p.mayRun++
+	p.retryAt = time.Time{}
+	f.trace.Sends++
+	f.engine.launch(f.ctx, f.request, g, a, i, f.usual, f.arrivals)
+}
+
+func (f *fanout) fail(p *part, reason verdict.Reason) {
+	p.failed = true
+	p.reason = reason
+	f.failed++
+}
+
+// drain handles the arrivals that are already here, so that one wake-up serves several parts.
+func (f *fanout) drain() {
+	for {
+		select {
+		case a := <-f.arrivals:
+			f.handle(&a, time.Now())
+		default:
+			return
+		}
+	}
+}
+
+func (f *fanout) handle(a *arrival, now time.Time) {
+	p := &f.parts[a.shard]
+	a.attempt.ended = true
+	if a.outcome.Verdict != verdict.NotRun {
+		f.ran = true
+	}
+	if p.answer != nil || p.failed {
+		return
+	}
+	if a.outcome.Reason == verdict.None {
+		p.answer = &a.outcome
+		f.answered++
+		return
+	}
+	p.reason = a.outcome.Reason
+	f.trace.Failed++
+	if a.outcome.Verdict == verdict.NotRun {
+		f.trace.Rejected++
+		p.mayRun--
+	}
+	if p.live() {
+		return
+	}
+	f.retry(a.shard, now)
+}
+
+func (p *part) live() bool {
+	for _, a := range p.attempts {
+		if !a.ended {
+			return true
+		}
+	}
+	return false
+}
+
+// retry sends a part again after a failure, at once to another replica or a little later to one that rejected it.
+func (f *fanout) retry(i int, now time.Time) {
+	p := &f.parts[i]
+	attempts := max(f.request.Route.Attempts, 1)
+	if p.mayRun >= attempts || len(p.attempts) >= attempts+extraSends {
+		f.fail(p, p.reason)
+		return
+	}
+	chosen, g := f.engine.choose(p.service, p.tried, false, f.expected, now)
+	if chosen == nil {
+		if g == nil || p.mayRun > 0 {
+			f.fail(p, p.reason)
+			return
+		}
+		// Every replica has rejected the part; ask again a little later.
+		p.tried = p.tried[:0]
+		p.retryAt = now.Add(rejectedPause)
+		return
+	}
+	if !f.take(p, g, now) {
+		f.fail(p, p.reason)
+		return
+	}
+	f.trace.Retries++
+	f.engine.counters.Retries.Add(1)
+	f.send(i, chosen, g, false, now)
+}
+
+// take uses the service's allowance of extra sends.
+func (f *fanout) take(p *part, g *group, now time.Time) bool {
+	if g.extra.take(now, f.engine.extra.share(f.engine.Instances())) {
+		return true
+	}
+	if !p.starved {
+		p.starved = true
+		f.trace.Starved++
+		f.engine.counters.Starved.Add(1)
+	}
+	return false
+}
+
+// check hedges the parts that wait too long or wait at a replica that has stalled, and sends those again whose pause has
+// passed.
+func (f *fanout) check(now time.Time) {
+	for i := range f.parts {
+		p := &f.parts[i]
+		switch {
+		case p.answer != nil || p.failed:
+		case !p.retryAt.IsZero():
+			if !now.Before(p.retryAt) {
+				p.retryAt = time.Time{}
+				f.retry(i, now)
+			}
+		case f.wantsHedge(p, now):
+			f.hedge(i, now)
+		}
+	}
+}
+
+func (f *fanout) wantsHedge(p *part, now time.Time) bool {
+	if len(p.attempts) == 0 || p.mayRun >= f.request.Route.Attempts || now.After(f.composeAt) {
+		return false
+	}
+	last := p.attempts[len(p.attempts)-1]
+	if last.ended || last.hedge {
+		return false
+	}
+	waited := now.Sub(last.sent)
+	if waited >= time.Duration(hedgeShare*float64(f.request.Route.Objective)) {
+		return true
+	}
+	return waited > f.expected && last.to.load.isStalled(now)
+}
+
+func (f *fanout) hedge(i int, now time.Time) {
+	p := &f.parts[i]
+	chosen, g := f.engine.choose(p.service, p.tried, true, f.expected, now)
+	if chosen == nil || !f.take(p, g, now) {
+		return
+	}
+	f.trace.Hedges++
+	f.engine.counters.Hedges.Add(1)
+	f.send(i, chosen, g, true, now)
+}
+
+func (f *fanout) untilNextCheck(now time.Time) time.Duration {
+	wait := checkInterval
+	for _, at := range []time.Time{f.composeAt, f.giveUpAt} {
+		if left := at.Sub(now); left > 0 {
+			wait = min(wait, left)
+		}
+	}
+	return wait
+}
+
+// ended tells whether the request has its answer or can get none any more. Until the objective it waits for every part;
+// after it, the first moment with enough parts is best, because lateness costs more than a missing part.
+func (f *fanout) ended(now time.Time) (Result, bool) {
+	switch {
+	case f.answered+f.failed == len(f.parts) && f.answered >= f.floor,
+		!now.Before(f.composeAt) && f.answered >= f.floor:
+		return f.compose(), true
+	case len(f.parts)-f.failed < f.floor:
+		return f.refuse(f.belowFloor("too many shards have failed")), true
+	case !now.Before(f.giveUpAt):
+		return f.refuse(f.belowFloor("too few shards have answered in time")), true
+	}
+	return Result{}, false
+}
+
+func (f *fanout) belowFloor(detail string) *verdict.Error {
+	return verdict.New(f.verdict(), verdict.CoverageBelowFloor, "%s: %d of %d, %d are needed", detail, f.answered, len(f.parts), f.floor).
+		WithRetryAfter(retryAfter)
+}
+
+// verdict says whether a replica may have run a part.
+func (f *fanout) verdict() verdict.Verdict {
+	if f.ran {
+		return verdict.MayHaveRun
+	}
+	for i := range f.parts {
+		if f.parts[i].mayRun > 0 {
+			return verdict.MayHaveRun
+		}
+	}
+	return verdict.NotRun
+}
+
+// refuse ends the request without an answer; nobody waits for its parts any more.
+func (f *fanout) refuse(failure *verdict.Error) Result {
+	f.cancel()
+	f.missed()
+	return Result{Failure: failure, Trace: f.trace}
+}
+
+func (f *fanout) compose() Result {
+	time.AfterFunc(linger, f.cancel)
+	bodies := make([][]byte, 0, f.answered)
+	result := Result{Receipts: make([]string, 0, f.answered), Missing: len(f.parts) - f.answered}
+	for i := range f.parts {
+		if answer := f.parts[i].answer; answer != nil {
+			bodies = append(bodies, answer.Body)
+			result.Receipts = append(result.Receipts, answer.Receipt)
+		}
+	}
+	result.Records = merge(bodies, f.request.Route.Keep)
+	f.missed()
+	result.Trace = f.trace
+	return result
+}
+
+func (f *fanout) missed() {
+	f.trace.Answered = f.answered
+	for i := range f.parts {
+		if p := &f.parts[i]; p.answer == nil {
+			if f.trace.Missed == nil {
+				f.trace.Missed = make(map[verdict.Reason]int)
+			}
+			reason := p.reason
+			if reason == verdict.None {
+				reason = verdict.DeadlinePassed
+			}
+			f.trace.Missed[reason]++
+		}
+	}
+}
--- /dev/null
+++ b/internal/lookup/load.go
@@ -0,0 +1,232 @@
+package lookup
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+const (
+	// stallFactor and stallFloor say how long a replica may be silent while requests wait at it, as a multiple of the
+	// usual time of a part. The time of a part varies by a third, so twice the usual time is met by few parts, while a
+	// pause of a replica takes many times as long.
+	stallFactor = 2.2
+	stallFloor  = 8 * time.Millisecond
+	// slownessMemory is how fast a slow replica is forgiven while nothing is sent to it.
+	slownessMemory = 1500 * time.Millisecond
+	// slownessGain is the weight of a new observation.
+	slownessGain = 0.2
+	// mostSlowness bounds what one observation counts.
+	mostSlowness = 12
+	// rejectMemory is how fast rejections are forgiven.
+	rejectMemory = time.Second
+	// firstSuspicion doubles with each further send in a row without any answer, up to longestSuspicion.
+	firstSuspicion   = 300 * time.Millisecond
+	longestSuspicion = 2 * time.Second
+	// coldSlowness is how much longer a cold replica takes, by what the users say of theirs.
+	coldSlowness = 1.6
+)
+
+// waiting is one send without an outcome yet.
+type waiting struct {
+	number   uint64
+	sent     time.Time
+	expected time.Duration
+}
+
+// load is what this instance knows of one start of a replica from its own sends. It answers three patterns: a replica
+// that pauses, one that is slow for seconds, and one that rejects or loses part of its requests.
+type load struct {
+	mutex    sync.Mutex
+	waiting  []waiting // in the order of sending
+	numbers  uint64
+	heard    time.Time
+	slowness float64 // smoothed time of a part over the usual time, less 1
+	slowAt   time.Time
+	rejects  float64 // smoothed share of sends that failed or were rejected
+	rejectAt time.Time
+	silent   int // sends in a row without an answer
+	suspect  time.Time
+	// misdirected is set when another process answers at the address.
+	misdirected bool
+	coldSends   []time.Time
+}
+
+// begin records a send.
+func (l *load) begin(now time.Time, expected time.Duration) uint64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.numbers++
+	l.waiting = append(l.waiting, waiting{l.numbers, now, expected})
+	return l.numbers
+}
+
+// end records the outcome of a send.
+func (l *load) end(number uint64, now time.Time, outcome *Outcome) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var ended waiting
+	for i := range l.waiting {
+		if l.waiting[i].number == number {
+			ended = l.waiting[i]
+			l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
+			break
+		}
+	}
+	elapsed := now.Sub(ended.sent)
+	switch {
+	case outcome.answered():
+		l.heard = now
+		l.silent = 0
+		l.suspect = time.Time{}
+		if outcome.Reason == verdict.None {
+			l.observe(now, elapsed, ended.expected)
+			l.reject(now, 0)
+		} else {
+			l.reject(now, 1)
+		}
+		l.misdirected = l.misdirected || outcome.Reason == verdict.Misdirected
+	case outcome.Reason == verdict.Cancelled || outcome.Reason == verdict.DeadlinePassed:
+		l.unanswered(now, elapsed, ended)
+	case outcome.Reason == verdict.ConnectFailed:
+		l.suspectFor(now)
+	case outcome.Reason == verdict.Overloaded:
+		// Every connection of this instance is in use; nothing is learnt of the replica.
+	default:
+		l.reject(now, 1)
+	}
+}
+
+// unanswered records a send that was given up. A short wait says nothing; a long one counts as at least that slow, and
+// as silence if nothing else was heard meanwhile.
+func (l *load) unanswered(now time.Time, elapsed time.Duration, ended waiting) {
+	if elapsed < stallAfter(ended.expected) {
+		return
+	}
+	l.observe(now, elapsed, ended.expected)
+	if l.heard.Before(ended.sent) {
+		l.suspectFor(now)
+	}
+}
+
+func (l *load) suspectFor(now time.Time) {
+	if now.Before(l.suspect) {
+		return
+	}
+	l.silent++
+	l.suspect = now.Add(min(firstSuspicion<<min(l.silent-1, 10), longestSuspicion))
+}
+
+func (l *load) observe(now time.Time, elapsed, expected time.Duration) {
+	ratio := min(float64(elapsed)/float64(max(expected, time.Millisecond)), mostSlowness)
+	current := l.slownessAt(now)
+	l.slowness = current + slownessGain*(ratio-1-current)
+	l.slowAt = now
+}
+
+func (l *load) slownessAt(now time.Time) float64 {
+	return l.slowness * fade(now.Sub(l.slowAt), slownessMemory)
+}
+
+func (l *load) reject(now time.Time, share float64) {
+	current := l.rejectsAt(now)
+	l.rejects = current + slownessGain*(share-current)
+	l.rejectAt = now
+}
+
+func (l *load) rejectsAt(now time.Time) float64 {
+	return l.rejects * fade(now.Sub(l.rejectAt), rejectMemory)
+}
+
+func fade(age, memory time.Duration) float64 {
+	return math.Exp(-float64(age) / float64(memory))
+}
+
+func stallAfter(expected time.Duration) time.Duration {
+	return time.Duration(stallFactor*float64(expected)) + stallFloor
+}
+
+// stalled tells whether requests wait at the replica and none has been answered for longer than usual.
+func (l *load) stalled(now time.Time) bool {
+	if len(l.waiting) == 0 {
+		return false
+	}
+	oldest := &l.waiting[0]
+	since := oldest.sent
+	if l.heard.After(since) {
+		since = l.heard
+	}
+	return now.Sub(since) > stallAfter(oldest.expected)
+}
+
+// isStalled is stalled with the lock taken.
+func (l *load) isStalled(now time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.stalled(now)
+}
+
+const (
+	// stallCost, suspectCost and rejectCost rank replicas against slowness, in usual times of a part: a paused replica
+	// comes after any that is slow, a silent one after that.
+	stallCost   = 12
+	suspectCost = 30
+	rejectCost  = 4
+	// waitingCost is what one request of this instance that waits at the replica adds.
+	waitingCost = 0.5
+	// remoteCost and remoteDelay are what a replica in another availability zone adds: bytes between zones are paid
+	// for, and each way takes about a millisecond.
+	remoteCost  = 0.3
+	remoteDelay = 2 * time.Millisecond
+)
+
+// cost ranks the replica for a part that usually takes expected; less is better.
+func (l *load) cost(now time.Time, expected time.Duration, local, cold bool, slots int) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	times := 1 + max(l.slownessAt(now), -0.5)
+	if cold {
+		times *= coldSlowness
+	}
+	times *= 1 + 2*waitingCost*float64(len(l.waiting))/float64(max(slots, 1))
+	times += rejectCost * l.rejectsAt(now)
+	if l.stalled(now) {
+		times += stallCost
+	}
+	if now.Before(l.suspect) {
+		times += suspectCost
+	}
+	total := time.Duration(times * float64(expected))
+	if !local {
+		total += remoteDelay + time.Duration(remoteCost*float64(expected))
+	}
+	return total
+}
+
+// usable tells whether the replica may get a request at all, and whether it is likely to answer.
+func (l *load) usable(now time.Time) (may, likely bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return !l.misdirected, !now.Before(l.suspect) && !l.stalled(now)
+}
+
+// admitCold tells whether a cold replica that bears rate requests a second may get one more from this instance, and
+// counts it. The sum over the instances stays within the rate in any second.
+func (l *load) admitCold(now time.Time, rate float64, instances int) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	kept := l.coldSends[:0]
+	for _, sent := range l.coldSends {
+		if now.Sub(sent) < time.Second {
+			kept = append(kept, sent)
+		}
+	}
+	l.coldSends = kept
+	if len(kept) >= max(1, int(rate/float64(max(instances, 1)))) {
+		return false
+	}
+	l.coldSends = append(kept, now)
+	return true
+}
--- /dev/null
+++ b/internal/lookup/plan.go
@@ -0,0 +1,126 @@
+package lookup
+
+import (
+	"slices"
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/directory"
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/routing"
+)
+
+// plan is one view prepared for choosing replicas. It is immutable; the states it points to outlive it.
+type plan struct {
+	table  *routing.Table
+	groups map[fleet.ServiceID]*group
+}
+
+// group is the replicas of one service.
+type group struct {
+	service routing.Service
+	members []member
+	extra   *budget
+}
+
+// member is one replica that may get new requests.
+type member struct {
+	directory.Replica
+	local bool
+	load  *load
+}
+
+// Update replaces the view. Replicas that it does not have get no new send once it returns. One goroutine at a time
+// calls it.
+func (e *Engine) Update(view *directory.View) {
+	e.updating.Lock()
+	defer e.updating.Unlock()
+	next := &plan{table: view.Table, groups: make(map[fleet.ServiceID]*group, len(view.Replicas))}
+	loads := make(map[fleet.ServerID]known, len(e.loads))
+	for id, replicas := range view.Replicas {
+		g := &group{service: view.Table.Service(id), extra: e.budgetOf(id)}
+		for _, replica := range replicas {
+			state := e.loads[replica.ID]
+			if state.load == nil || !state.replica.SameProcess(replica) {
+				state = known{load: &load{}}
+			}
+			state.replica = replica
+			loads[replica.ID] = state
+			g.members = append(g.members, member{Replica: replica, local: replica.Zone == e.zone, load: state.load})
+		}
+		next.groups[id] = g
+	}
+	for id := range e.loads {
+		if _, listed := loads[id]; !listed {
+			e.forget(id)
+		}
+	}
+	e.loads = loads
+	e.plan.Store(next)
+}
+
+// known is the state of a replica with the entry that it belongs to.
+type known struct {
+	replica directory.Replica
+	load    *load
+}
+
+func (e *Engine) budgetOf(id fleet.ServiceID) *budget {
+	known, ok := e.budgets[id]
+	if !ok {
+		known = &budget{}
+		e.budgets[id] = known
+	}
+	return known
+}
+
+// choose returns the replica of the service that costs least, or nil. Those in tried are left out. With likely only a
+// replica that is expected to answer is returned. A cold replica is taken only within its rate.
+func (e *Engine) choose(id fleet.ServiceID, tried []*load, likely bool, expected time.Duration, now time.Time) (*member, *group) {
+	g := e.plan.Load().groups[id]
+	if g == nil || len(g.members) == 0 {
+		return nil, g
+	}
+	left := slices.Clone(tried)
+	for {
+		best := e.cheapest(g, left, likely, expected, now)
+		if best == nil {
+			return nil, g
+		}
+		if g.service.ColdRate <= 0 || !now.Before(best.ColdUntil) || best.load.admitCold(now, g.service.ColdRate, e.Instances()) {
+			return best, g
+		}
+		left = append(left, best.load)
+	}
+}
+
+func (e *Engine) cheapest(g *group, tried []*load, likely bool, expected time.Duration, now time.Time) *member {
+	var best *member
+	var least time.Duration
+	start := int(e.draw.Add(1) * 0x9e3779b97f4a7c15 >> 33 % uint64(len(g.members)))
+	for i := range g.members {
+		m := &g.members[(start+i)%len(g.members)]
+		if slices.Contains(tried, m.load) {
+			continue
+		}
+		may, expectedToAnswer := m.load.usable(now)
+		if !may || likely && !expectedToAnswer {
+			continue
+		}
+		if cost := m.load.cost(now, expected, m.local, now.Before(m.ColdUntil), m.Slots); best == nil || cost < least {
+			best, least = m, cost
+		}
+	}
+	return best
+}
+
+// connections returns how many connections to one replica of the service this instance may hold. The instances are
+// assumed to grow by a quarter before each of them has heard of it.
+func (e *Engine) connections(g *group) int {
+	if g.service.Connections <= 0 {
+		return leastConnections
+	}
+	return max(leastConnections, g.service.Connections*4/(5*e.Instances()))
+}
+
+// leastConnections is the least number of connections to a replica.
+const leastConnections = 2
--- a/pkg/verdict/reason.go
+++ b/pkg/verdict/reason.go
@@ -42,6 +42,10 @@
 	Unauthorised                     // unauthorised
 	ServerError                      // server-error
 	ResultDropped                    // result-dropped
+	Misdirected                      // misdirected
+	NoConfiguration                  // no-configuration
+	UnknownRoute                     // unknown-route
+	RequestTooLarge                  // request-too-large
 
 	reasonCount = iota
 )
--- a/pkg/verdict/reason_string.go
+++ b/pkg/verdict/reason_string.go
@@ -40,11 +40,15 @@
 	_ = x[Unauthorised-29]
 	_ = x[ServerError-30]
 	_ = x[ResultDropped-31]
+	_ = x[Misdirected-32]
+	_ = x[NoConfiguration-33]
+	_ = x[UnknownRoute-34]
+	_ = x[RequestTooLarge-35]
 }
 
-const _Reason_name = "noneinvalid-requestunknown-applicationunknown-sharddeadline-too-shortdeadline-passedoverloadedsheddingno-replicaversion-not-heldno-snapshotcoverage-below-floorconnect-failedconnection-lostsilent-connectionbad-answernot-ownerfencedpeer-unreachablehedge-refusedcoldleavingzone-outinstance-outnot-readyticket-unknownticket-reusedticket-expiredcancelledunauthorisedserver-errorresult-dropped"
+const _Reason_name = "noneinvalid-requestunknown-applicationunknown-sharddeadline-too-shortdeadline-passedoverloadedsheddingno-replicaversion-not-heldno-snapshotcoverage-below-floorconnect-failedconnection-lostsilent-connectionbad-answernot-ownerfencedpeer-unreachablehedge-refusedcoldleavingzone-outinstance-outnot-readyticket-unknownticket-reusedticket-expiredcancelledunauthorisedserver-errorresult-droppedmisdirectedno-configurationunknown-routerequest-too-large"
 
-var _Reason_index = [...]uint16{0, 4, 19, 38, 51, 69, 84, 94, 102, 112, 128, 139, 159, 173, 188, 205, 215, 224, 230, 246, 259, 263, 270, 278, 290, 299, 313, 326, 340, 349, 361, 373, 387}
+var _Reason_index = [...]uint16{0, 4, 19, 38, 51, 69, 84, 94, 102, 112, 128, 139, 159, 173, 188, 205, 215, 224, 230, 246, 259, 263, 270, 278, 290, 299, 313, 326, 340, 349, 361, 373, 387, 398, 414, 427, 444}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
