--- a/Makefile
+++ b/Makefile
@@ -12,12 +12,12 @@
 	$(GO) run ./internal/knownred ./... -- -count=1
 
 lint:
-	@out=$$($(GO) tool gofumpt -l cmd internal pkg); if [ -n "$$out" ]; then echo "gofumpt: not formatted:"; echo "$$out"; exit 1; fi
+	@out=$$($(GO) tool gofumpt -l cmd internal pkg platform); if [ -n "$$out" ]; then echo "gofumpt: not formatted:"; echo "$$out"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool revive -config revive.toml -set_exit_status ./...
 
 format:
-	$(GO) tool gofumpt -w cmd internal pkg
+	$(GO) tool gofumpt -w cmd internal pkg platform
 
 generate:
 	$(GO) generate ./...
@@ -43,7 +43,7 @@
 # printed and kept in the package's testdata/fuzz.
 FUZZTIME ?= 10s
 fuzz:
-	@failed=0; for target in $$(grep -rHoE '^func Fuzz[A-Za-z0-9_]+' --include='*_test.go' cmd internal pkg | sed 's/:func /:/' | sort); do \
+	@failed=0; for target in $$(grep -rHoE '^func Fuzz[A-Za-z0-9_]+' --include='*_test.go' cmd internal pkg platform | sed 's/:func /:/' | sort); do \
 		package=./$$(dirname $${target%%:*}); name=$${target##*:}; echo "$$package $$name"; \
 		$(GO) test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZTIME) $$package || failed=1; \
 	done; exit $$failed
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -71,7 +71,9 @@
 func NewRelay(dial func(ctx context.Context, address string) (net.Conn, error)) *Relay {
 	if dial == nil {
 		dialer := &net.Dialer{}
-		dial = func(ctx context.Context, address string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) }
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
 	}
 	r := &Relay{dial: dial}
 	r.pools.known = make(map[fleet.ServerID]*pool)
--- a/internal/command/cases_test.go
+++ b/internal/command/cases_test.go
@@ -228,8 +228,8 @@
 		s.hosts["127.0.0.1:7010"], s.hosts["127.0.0.1:7011"] = s.store, s.list
 		s.hosts["127.0.0.1:7100"] = http.HandlerFunc(answerQuery)
 		for _, v := range verbs() {
-			if v.name == "serve" {
-				continue // it runs until it is stopped; TestExamples of settings reads its file
+			if v.name == "serve" || v.name == "entry" {
+				continue // they run until they are stopped; TestExamples of settings and the tests of platform read their files
 			}
 			output := s.run(strings.TrimPrefix(v.example, "medlarlatch "))
 			if strings.Contains(output, "exit code 2") || strings.Contains(output, "exit code 3") {
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -10,7 +10,7 @@
 	name:      "entry",
 	summary:   "runs an entry instance on the users' platform until SIGTERM, then stops it gracefully",
 	arguments: "[--settings FILE] [--metrics-port PORT]",
-	example:   "MEDLARLATCH_BOOT=/etc/medlarlatch/node.conf medlarlatch entry --metrics-port 9464",
+	example:   "medlarlatch entry --settings /etc/medlarlatch/node.conf --metrics-port 9464",
 	options:   func() runner { return &entryOptions{} },
 }
 
--- a/internal/command/pages_test.go
+++ b/internal/command/pages_test.go
@@ -40,6 +40,9 @@
 	explained := page(t, "operators/reasons.md")
 	files, err := filepath.Glob("../*/*.go")
 	is.New(t).NoErr(err)
+	adapter, err := filepath.Glob("../../platform/*.go")
+	is.New(t).NoErr(err)
+	files = append(files, adapter...)
 	found := 0
 	for _, file := range files {
 		text, err := os.ReadFile(file)
@@ -69,7 +72,7 @@
 func TestPackagesAreDescribed(t *testing.T) {
 	described := make(map[string]int)
 	comment := regexp.MustCompile(`(?m)((?:^//.*\n)+)^package `)
-	for _, pattern := range []string{"cmd/*/*.go", "pkg/*/*.go", "internal/*/*.go", "internal/standin/*/*.go"} {
+	for _, pattern := range []string{"cmd/*/*.go", "pkg/*/*.go", "internal/*/*.go", "internal/standin/*/*.go", "platform/*.go"} {
 		files, err := filepath.Glob("../../" + pattern)
 		is.New(t).NoErr(err)
 		for _, file := range files {
--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -47,7 +47,7 @@
 type Engine struct {
 	zone      fleet.ZoneID
 	sender    Sender
-	extra     Allowance
+	extra     atomic.Pointer[Allowance]
 	forgotten func(fleet.ServerID)
 	plan      atomic.Pointer[plan]
 	instances atomic.Int64
@@ -67,11 +67,11 @@
 	e := &Engine{
 		zone:      options.Zone,
 		sender:    options.Sender,
-		extra:     options.Extra,
 		forgotten: options.Forget,
 		loads:     make(map[fleet.ServerID]known),
 		budgets:   make(map[fleet.ServiceID]*budget),
 	}
+	e.SetExtra(options.Extra)
 	e.draw.Store(options.Random.Uint64())
 	e.instances.Store(defaultInstances)
 	e.plan.Store(&plan{})
@@ -87,6 +87,12 @@
 // SetInstances says how many entry instances there may be.
 func (e *Engine) SetInstances(count int) { e.instances.Store(int64(max(count, 1))) }
 
+// SetExtra replaces the bound on extra sends.
+func (e *Engine) SetExtra(allowed Allowance) { e.extra.Store(&allowed) }
+
+// share returns this instance's part of the bound on extra sends.
+func (e *Engine) share() Allowance { return e.extra.Load().share(e.Instances()) }
+
 // Running returns the number of requests in progress.
 func (e *Engine) Running() int64 { return e.running.Load() }
 
@@ -113,9 +119,9 @@
 	}
 	defer e.running.Add(-1)
 	if len(request.Route.Shards) > 0 {
-		return newFanout(e, ctx, request).run()
+		return newFanout(ctx, e, request).run()
 	}
-	return newSingle(e, ctx, request).run()
+	return newSingle(ctx, e, request).run()
 }
 
 // retryAfter is when a caller comes back where nothing better is known.
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -56,7 +56,7 @@
 	triedRoom   [2]*load
 }
 
-func newFanout(e *Engine, ctx context.Context, request *Request) *fanout {
+func newFanout(ctx context.Context, e *Engine, request *Request) *fanout {
 	route := request.Route
 	f := &fanout{
 		engine:   e,
@@ -115,7 +115,7 @@
 		if g == nil {
 			continue
 		}
-		g.extra.request(now, f.engine.extra)
+		g.extra.request(now, f.engine.share())
 		for i := range g.members {
 			if may, _ := g.members[i].load.usable(now); may {
 				usable++
@@ -236,7 +236,7 @@
 
 // take uses the service's allowance of extra sends.
 func (f *fanout) take(p *part, g *group, now time.Time) bool {
-	if g.extra.take(now, f.engine.extra.share(f.engine.Instances())) {
+	if g.extra.take(now, f.engine.share()) {
 		return true
 	}
 	if !p.starved {
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -27,7 +27,7 @@
 	trace Trace
 }
 
-func newSingle(e *Engine, ctx context.Context, request *Request) *single {
+func newSingle(ctx context.Context, e *Engine, request *Request) *single {
 	s := &single{
 		engine:   e,
 		request:  request,
@@ -49,7 +49,7 @@
 	if chosen == nil {
 		return s.refuse(verdict.New(verdict.NotRun, verdict.NoReplica, "service %s has no replica", s.part.service).WithRetryAfter(retryAfter))
 	}
-	g.extra.request(now, s.engine.extra)
+	g.extra.request(now, s.engine.share())
 	s.send(chosen, g, false, now)
 	timer := time.NewTimer(s.untilNext(now))
 	defer timer.Stop()
@@ -137,7 +137,7 @@
 		s.part.retryAt = now.Add(rejectedPause)
 		return Result{}, false
 	}
-	if !g.extra.take(now, s.engine.extra.share(s.engine.Instances())) {
+	if !g.extra.take(now, s.engine.share()) {
 		s.trace.Starved++
 		s.engine.counters.Starved.Add(1)
 		return s.fail(), true
@@ -186,7 +186,7 @@
 	last := s.part.attempts[len(s.part.attempts)-1]
 	last.hedge = true // one try; without room for it the request waits for its first send
 	chosen, g := s.engine.choose(s.part.service, s.part.tried, true, s.expected, now)
-	if chosen == nil || !g.extra.take(now, s.engine.extra.share(s.engine.Instances())) {
+	if chosen == nil || !g.extra.take(now, s.engine.share()) {
 		return Result{}, false
 	}
 	s.trace.Hedges++
