Divide the bounds among the registered instances, and pay nothing for sends that never left

Change: instances register under a lease and are counted; a replica at its connection limit is not chosen; a send that cannot have reached a replica is refunded, and the one after it is no extra one.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -39,8 +39,16 @@
 	return r.ID == other.ID && r.Service == other.Service && r.Address == other.Address && r.Born == other.Born
 }
 
-// Change is one change that the store reported. Exactly one of Table, Replica and Zone is set, or none where an entry
-// cannot be used. Gone says that the key was deleted.
+// Instance is another entry instance, or this one.
+type Instance struct {
+	ID   fleet.InstanceID
+	Zone fleet.ZoneID
+	// Peers is the address, IP:port, on which it answers other instances; empty if it does not.
+	Peers string
+}
+
+// Change is one change that the store reported. Exactly one of Table, Replica, Zone and Instance is set, or none where
+// an entry cannot be used. Gone says that the key was deleted.
 type Change struct {
 	Table *routing.Table
 	// Replica is the key of a registration; Entry is nil if it is gone or cannot be used.
@@ -48,7 +56,10 @@
 	Entry   *Replica
 	// Zone is taken out, or back in with Gone.
 	Zone fleet.ZoneID
-	Gone bool
+	// Instance is the key of an instance's registration; Registered is nil if it is gone.
+	Instance   fleet.InstanceID
+	Registered *Instance
+	Gone       bool
 }
 
 // View is what requests see. It is immutable.
@@ -56,6 +67,8 @@
 	Table    *routing.Table
 	Replicas map[fleet.ServiceID][]Replica
 	ZonesOut []fleet.ZoneID
+	// Instances are the entry instances registered now or until a short time ago.
+	Instances []Instance
 }
 
 // Directory is the state behind the views. One goroutine uses it.
@@ -64,6 +77,9 @@
 	replicas map[fleet.ServerID]Replica
 	lapsed   map[fleet.ServerID]struct{}
 	zonesOut map[fleet.ZoneID]struct{}
+	// instances and instancesGone are the registered instances, and when those whose entry is gone lost it.
+	instances     map[fleet.InstanceID]Instance
+	instancesGone map[fleet.InstanceID]time.Time
 	// restored is when the store answered again after an outage.
 	restored time.Time
 }
@@ -74,6 +90,9 @@
 		replicas: make(map[fleet.ServerID]Replica),
 		lapsed:   make(map[fleet.ServerID]struct{}),
 		zonesOut: make(map[fleet.ZoneID]struct{}),
+
+		instances:     make(map[fleet.InstanceID]Instance),
+		instancesGone: make(map[fleet.InstanceID]time.Time),
 	}
 }
 
@@ -106,6 +125,15 @@
 		return true
 	case change.Zone != "":
 		return d.setZone(change.Zone, !change.Gone)
+	case change.Registered != nil:
+		former, listed := d.instances[change.Instance]
+		d.instances[change.Instance] = *change.Registered
+		delete(d.instancesGone, change.Instance)
+		return !listed || former != *change.Registered
+	case change.Instance != "":
+		if _, listed := d.instances[change.Instance]; listed {
+			d.instancesGone[change.Instance] = now
+		}
 	case change.Entry != nil:
 		former, listed := d.replicas[change.Replica]
 		d.replicas[change.Replica] = *change.Entry
@@ -155,7 +183,9 @@
 func (d *Directory) Replace(changes []Change, now time.Time) bool {
 	listed := make(map[fleet.ServerID]struct{}, len(changes))
 	out := make(map[fleet.ZoneID]struct{})
+	registered := make(map[fleet.InstanceID]struct{})
 	for i := range changes {
+		registered[changes[i].Instance] = struct{}{}
 		if changes[i].Entry != nil {
 			listed[changes[i].Replica] = struct{}{}
 		}
@@ -171,14 +201,40 @@
 			altered = d.remove(id, now) || altered
 		}
 	}
+	for id := range d.instances {
+		if _, ok := registered[id]; !ok && d.instancesGone[id].IsZero() {
+			d.instancesGone[id] = now
+		}
+	}
 	return altered
 }
 
 // Replicas returns the number of registered replicas.
 func (d *Directory) Replicas() int { return len(d.replicas) }
 
-// Expire drops the entries that were not renewed in time after an outage. It returns how many.
+// instanceMemory is how long an instance whose entry is gone still counts. It may go on serving without the store, and
+// a count that is too high only leaves shares of the bounds unused.
+const instanceMemory = 15 * time.Second
+
+// Expire drops the entries that were not renewed in time after an outage, and the instances that are gone for long. It
+// returns how many.
 func (d *Directory) Expire(now time.Time) int {
+	return d.expireInstances(now) + d.expireReplicas(now)
+}
+
+func (d *Directory) expireInstances(now time.Time) int {
+	dropped := 0
+	for id, gone := range d.instancesGone {
+		if now.Sub(gone) >= instanceMemory {
+			delete(d.instances, id)
+			delete(d.instancesGone, id)
+			dropped++
+		}
+	}
+	return dropped
+}
+
+func (d *Directory) expireReplicas(now time.Time) int {
 	if len(d.lapsed) == 0 || now.Before(d.restored.Add(lapseGrace)) {
 		return 0
 	}
@@ -190,9 +246,6 @@
 	return dropped
 }
 
-// Pending tells whether lapsed entries wait for Expire.
-func (d *Directory) Pending() bool { return len(d.lapsed) > 0 }
-
 // View returns what requests may use now: no draining replica and none in a zone that is out.
 func (d *Directory) View() *View {
 	v := &View{Table: d.table, Replicas: make(map[fleet.ServiceID][]Replica)}
@@ -203,6 +256,9 @@
 		}
 		v.Replicas[known.Service] = append(v.Replicas[known.Service], known)
 	}
+	for _, id := range slices.Sorted(maps.Keys(d.instances)) {
+		v.Instances = append(v.Instances, d.instances[id])
+	}
 	v.ZonesOut = slices.Sorted(maps.Keys(d.zonesOut))
 	return v
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -139,7 +139,7 @@
 
 func (f *Follower) altered(altered bool, now time.Time) {
 	if dropped := f.state.Expire(now); dropped > 0 {
-		klog.InfoS("Lapsed replicas dropped", "replicas", dropped, "revision", f.revision)
+		klog.InfoS("Lapsed entries dropped", "entries", dropped, "revision", f.revision)
 		altered = true
 	}
 	if !altered || !f.state.Ready() {
@@ -147,7 +147,7 @@
 	}
 	view := f.state.View()
 	klog.InfoS("View changed", "version", view.Table.Version(), "revision", f.revision, "replicas", f.state.Replicas(),
-		"services", len(view.Replicas), "zones-out", view.ZonesOut)
+		"services", len(view.Replicas), "zones-out", view.ZonesOut, "instances", len(view.Instances))
 	f.publish(view)
 }
 
--- a/internal/lookup/attempt.go
+++ b/internal/lookup/attempt.go
@@ -14,7 +14,9 @@
 	sent     time.Time
 	expected time.Duration
 	hedge    bool
-	ended    bool
+	// paid is the budget that the send was taken from; nil for a first send and for one after sends that never left.
+	paid  *budget
+	ended bool
 }
 
 // arrival is an outcome on its way to the goroutine of its request.
@@ -34,6 +36,9 @@
 		outcome := e.sender.Send(ctx, request, a.to.Replica, connections)
 		now := time.Now()
 		a.to.load.end(a.number, now, &outcome)
+		if outcome.Unsent && a.paid != nil {
+			a.paid.refund()
+		}
 		if outcome.Reason == verdict.None {
 			usual.observe(now.Sub(a.sent))
 		}
--- a/internal/lookup/budget.go
+++ b/internal/lookup/budget.go
@@ -76,6 +76,15 @@
 	return true
 }
 
+// refund takes back an extra send that never left this process.
+func (b *budget) refund() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	at := b.bucket % int64(len(b.extra))
+	b.extra[at]--
+	b.allExtra--
+}
+
 func (b *budget) left(allowed Allowance) float64 {
 	return ratioMargin*allowed.Ratio*float64(b.allRequests) + allowed.Extra - float64(b.allExtra)
 }
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -45,7 +45,8 @@
 	service  fleet.ServiceID
 	attempts []*attempt
 	tried    []*load
-	mayRun   int // sends that the replica may have run
+	mayRun   int  // sends that the replica may have run
+	arrived  bool // a send may have reached a replica, so that another one is extra
 	answer   *Outcome
 	failed   bool
 	retryAt  time.Time
@@ -117,7 +118,7 @@
 		}
 		g.extra.request(now, f.engine.share())
 		for i := range g.members {
-			if may, _ := g.members[i].load.usable(now); may {
+			if may, _ := g.members[i].load.usable(now, f.engine.connections(g)); may {
 				usable++
 				break
 			}
@@ -139,12 +140,12 @@
 		f.fail(p, verdict.NoReplica)
 		return
 	}
-	f.send(i, chosen, g, false, now)
+	f.send(i, chosen, g, false, nil, now)
 }
 
-func (f *fanout) send(i int, to *member, g *group, hedge bool, now time.Time) {
+func (f *fanout) send(i int, to *member, g *group, hedge bool, paid *budget, now time.Time) {
 	p := &f.parts[i]
-	a := &attempt{to: to, sent: now, expected: f.expected, hedge: hedge}
+	a := &attempt{to: to, sent: now, expected: f.expected, hedge: hedge, paid: paid}
 	p.attempts = append(p.attempts, a)
 	p.tried = append(p.tried, to.load)
 	p.mayRun++
@@ -186,6 +187,7 @@
 		return
 	}
 	p.reason = a.outcome.Reason
+	p.arrived = p.arrived || !a.outcome.Unsent
 	f.trace.Failed++
 	if a.outcome.Verdict == verdict.NotRun {
 		f.trace.Rejected++
@@ -225,26 +227,31 @@
 		p.retryAt = now.Add(rejectedPause)
 		return
 	}
-	if !f.take(p, g, now) {
+	paid, ok := f.take(p, g, now)
+	if !ok {
 		f.fail(p, p.reason)
 		return
 	}
 	f.trace.Retries++
 	f.engine.counters.Retries.Add(1)
-	f.send(i, chosen, g, false, now)
+	f.send(i, chosen, g, false, paid, now)
 }
 
-// take uses the service's allowance of extra sends.
-func (f *fanout) take(p *part, g *group, now time.Time) bool {
+// take uses the service's allowance of extra sends. The send is not extra, and nothing is paid, while none of the part's
+// sends can have reached a replica.
+func (f *fanout) take(p *part, g *group, now time.Time) (paid *budget, ok bool) {
+	if !p.arrived && !p.live() {
+		return nil, true
+	}
 	if g.extra.take(now, f.engine.share()) {
-		return true
+		return g.extra, true
 	}
 	if !p.starved {
 		p.starved = true
 		f.trace.Starved++
 		f.engine.counters.Starved.Add(1)
 	}
-	return false
+	return nil, false
 }
 
 // check hedges the parts that wait too long or wait at a replica that has stalled, and sends those again whose pause has
@@ -283,12 +290,16 @@
 func (f *fanout) hedge(i int, now time.Time) {
 	p := &f.parts[i]
 	chosen, g := f.engine.choose(p.service, p.tried, true, f.expected, now)
-	if chosen == nil || !f.take(p, g, now) {
+	if chosen == nil {
+		return
+	}
+	paid, ok := f.take(p, g, now)
+	if !ok {
 		return
 	}
 	f.trace.Hedges++
 	f.engine.counters.Hedges.Add(1)
-	f.send(i, chosen, g, true, now)
+	f.send(i, chosen, g, true, paid, now)
 }
 
 func (f *fanout) untilNextCheck(now time.Time) time.Duration {
--- a/internal/lookup/load.go
+++ b/internal/lookup/load.go
@@ -205,11 +205,12 @@
 	return total
 }
 
-// usable tells whether the replica may get a request at all, and whether it is likely to answer.
-func (l *load) usable(now time.Time) (may, likely bool) {
+// usable tells whether the replica may get a request at all over the given number of connections, and whether it is
+// likely to answer.
+func (l *load) usable(now time.Time, connections int) (may, likely bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return !l.misdirected, !now.Before(l.suspect) && !l.stalled(now)
+	return !l.misdirected && len(l.waiting) < connections, !now.Before(l.suspect) && !l.stalled(now)
 }
 
 // admitCold tells whether a cold replica that bears rate requests a second may get one more from this instance, and
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -47,6 +47,8 @@
 	Header  http.Header
 	Body    []byte
 	Receipt string
+	// Unsent is set when no byte of the request can have reached a replica.
+	Unsent bool
 	// Leaving is set when the replica said that it closes its connections.
 	Leaving bool
 }
--- a/internal/lookup/plan.go
+++ b/internal/lookup/plan.go
@@ -96,13 +96,14 @@
 func (e *Engine) cheapest(g *group, tried []*load, likely bool, expected time.Duration, now time.Time) *member {
 	var best *member
 	var least time.Duration
+	connections := e.connections(g)
 	start := int(e.draw.Add(1) * 0x9e3779b97f4a7c15 >> 33 % uint64(len(g.members)))
 	for i := range g.members {
 		m := &g.members[(start+i)%len(g.members)]
 		if slices.Contains(tried, m.load) {
 			continue
 		}
-		may, expectedToAnswer := m.load.usable(now)
+		may, expectedToAnswer := m.load.usable(now, connections)
 		if !may || likely && !expectedToAnswer {
 			continue
 		}
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -50,7 +50,7 @@
 		return s.refuse(verdict.New(verdict.NotRun, verdict.NoReplica, "service %s has no replica", s.part.service).WithRetryAfter(retryAfter))
 	}
 	g.extra.request(now, s.engine.share())
-	s.send(chosen, g, false, now)
+	s.send(chosen, g, false, nil, now)
 	timer := time.NewTimer(s.untilNext(now))
 	defer timer.Stop()
 	for {
@@ -85,8 +85,8 @@
 	return max(next.Sub(now), time.Millisecond)
 }
 
-func (s *single) send(to *member, g *group, hedge bool, now time.Time) {
-	a := &attempt{to: to, sent: now, expected: s.expected, hedge: hedge}
+func (s *single) send(to *member, g *group, hedge bool, paid *budget, now time.Time) {
+	a := &attempt{to: to, sent: now, expected: s.expected, hedge: hedge, paid: paid}
 	s.part.attempts = append(s.part.attempts, a)
 	s.part.tried = append(s.part.tried, to.load)
 	s.part.mayRun++
@@ -107,6 +107,7 @@
 		return Result{Answer: &a.outcome, Trace: s.trace}, true
 	}
 	s.part.reason = a.outcome.Reason
+	s.part.arrived = s.part.arrived || !a.outcome.Unsent
 	s.trace.Failed++
 	switch {
 	case a.outcome.Verdict == verdict.NotRun:
@@ -137,14 +138,18 @@
 		s.part.retryAt = now.Add(rejectedPause)
 		return Result{}, false
 	}
-	if !g.extra.take(now, s.engine.share()) {
+	paid := g.extra
+	switch {
+	case !s.part.arrived:
+		paid = nil // nothing has reached a replica yet, so that the send is not extra
+	case !g.extra.take(now, s.engine.share()):
 		s.trace.Starved++
 		s.engine.counters.Starved.Add(1)
 		return s.fail(), true
 	}
 	s.trace.Retries++
 	s.engine.counters.Retries.Add(1)
-	s.send(chosen, g, false, now)
+	s.send(chosen, g, false, paid, now)
 	return Result{}, false
 }
 
@@ -191,7 +196,7 @@
 	}
 	s.trace.Hedges++
 	s.engine.counters.Hedges.Add(1)
-	s.send(chosen, g, true, now)
+	s.send(chosen, g, true, g.extra, now)
 	return Result{}, false
 }
 
