Say not ready while cut off from the other zones

Ruled out: lack of capacity; the other zones answered 95% and more meanwhile. Change: an instance whose remote replicas are all silent says not ready, closes kept connections with the next answer, refuses what cannot reach its floor at once, and probes until a remote replica is reached.

--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -118,6 +118,19 @@
 	return Answer{Status: done.status, Header: done.header, Body: done.body, Leaving: done.closing}, nil
 }
 
+// Probe opens a connection to the server and keeps it for the next request.
+func (r *Relay) Probe(ctx context.Context, server fleet.Server, limit int) *verdict.Error {
+	p := r.pools.of(server)
+	if !p.reserve(limit) {
+		return verdict.New(verdict.NotRun, verdict.Overloaded, "all %d connections to %s are in use", limit, server.ID)
+	}
+	c, failure := r.open(ctx, p, server)
+	if failure == nil {
+		p.put(c, limit)
+	}
+	return failure
+}
+
 // connect returns an idle connection that looks alive, or a new one.
 func (r *Relay) connect(ctx context.Context, p *pool, server fleet.Server, limit int, deadline time.Time) (*conn, *verdict.Error) {
 	for {
@@ -139,11 +152,16 @@
 	}
 	dialing, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	raw, err := r.dial(dialing, p.address)
+	return r.open(dialing, p, server)
+}
+
+// open opens a connection in the place that was reserved for it.
+func (r *Relay) open(ctx context.Context, p *pool, server fleet.Server) (*conn, *verdict.Error) {
+	raw, err := r.dial(ctx, p.address)
 	if err != nil {
 		p.release()
 		reason := verdict.ConnectFailed
-		if ctx.Err() != nil {
+		if errors.Is(ctx.Err(), context.Canceled) {
 			reason = verdict.Cancelled
 		}
 		return nil, verdict.New(verdict.NotRun, reason, "connect to %s: %v", server.ID, err)
--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -53,6 +53,8 @@
 	instances atomic.Int64
 	draw      atomic.Uint64
 	running   atomic.Int64
+	tried     atomic.Int64 // Unix nanoseconds of the last request let through by mayTry
+	isolation isolation
 	counters  Counters
 	paces     sync.Map // name of a route to *pace
 
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/routing"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
@@ -64,7 +65,7 @@
 		request:  request,
 		usual:    e.paceOf(route),
 		giveUpAt: request.Deadline.Add(-lastMoment),
-		floor:    max(1, int(math.Ceil(route.Floor*float64(len(route.Shards))-1e-9))),
+		floor:    floorOf(route),
 		parts:    make([]part, len(route.Shards)),
 		arrivals: make(chan arrival, len(route.Shards)*(max(route.Attempts, 1)+extraSends)),
 	}
@@ -107,28 +108,27 @@
 	}
 }
 
-// reachable refuses a request that cannot reach its floor before anything is sent.
+// reachable refuses a request that most likely cannot reach its floor before anything is sent. It answers a zone that is
+// cut off, or shards whose replicas are all down: waiting would only keep the caller from another instance.
 func (f *fanout) reachable(now time.Time) *verdict.Error {
 	current := f.engine.plan.Load()
-	usable := 0
 	for _, service := range f.request.Route.Shards {
-		g := current.groups[service]
-		if g == nil {
-			continue
-		}
-		g.extra.request(now, f.engine.share())
-		for i := range g.members {
-			if may, _ := g.members[i].load.usable(now, f.engine.connections(g)); may {
-				usable++
-				break
-			}
+		if g := current.groups[service]; g != nil {
+			g.extra.request(now, f.engine.share())
 		}
 	}
-	if usable >= f.floor {
+	likely := f.engine.likely(current, f.request.Route.Shards, now)
+	if likely >= f.floor || f.engine.mayTry(now) {
 		return nil
 	}
-	return verdict.New(verdict.NotRun, verdict.NoReplica, "%d of %d shards have a replica, %d are needed", usable, len(f.parts), f.floor).
-		WithRetryAfter(retryAfter)
+	return verdict.New(verdict.NotRun, verdict.NoReplica, "%d of %d shards have a replica that answers, %d are needed",
+		likely, len(f.parts), f.floor).WithRetryAfter(retryAfter)
+}
+
+// floorOf returns the least number of shards that makes an answer. The small amount keeps 0.95 of 20, which is
+// 19.000000000000004 or so, from asking for 20.
+func floorOf(route *routing.Route) int {
+	return max(1, int(math.Ceil(route.Floor*float64(len(route.Shards))-1e-9)))
 }
 
 func (f *fanout) start(i int, now time.Time) {
--- a/internal/lookup/load.go
+++ b/internal/lookup/load.go
@@ -231,3 +231,24 @@
 	l.coldSends = append(kept, now)
 	return true
 }
+
+// silentNow tells whether the replica has lately not answered at all.
+func (l *load) silentNow(now time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.misdirected || now.Before(l.suspect)
+}
+
+// contact tells whether the replica is silent, and whether it has answered just now.
+func (l *load) contact(now time.Time) (silent, sound bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return now.Before(l.suspect) || l.stalled(now) && now.Sub(l.heard) > soundFor, now.Sub(l.heard) <= soundFor
+}
+
+// revive forgets the silence of a replica.
+func (l *load) revive() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.silent, l.suspect = 0, time.Time{}
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -125,6 +125,15 @@
 // Service returns what operators say of a service; the zero value if they name none of that name.
 func (t *Table) Service(id fleet.ServiceID) Service { return t.services[id] }
 
+// Routes returns all routes, in no particular order.
+func (t *Table) Routes() []*Route {
+	var all []*Route
+	for _, hosted := range t.routes {
+		all = append(all, hosted...)
+	}
+	return all
+}
+
 // Services returns the number of services.
 func (t *Table) Services() int { return len(t.services) }
 
