Probe silent replicas and judge a zone's replicas as a whole

Change: silent replicas are tried by opening a connection, the replicas of a zone with four silent and none that answers are all taken for silent, and callers of an isolated instance are told when the balancer will have moved them.

--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -55,6 +55,7 @@
 	running   atomic.Int64
 	tried     atomic.Int64 // Unix nanoseconds of the last request let through by mayTry
 	isolation isolation
+	nextProbe int // used by the goroutine of WatchReach only
 	counters  Counters
 	paces     sync.Map // name of a route to *pace
 
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -122,7 +122,7 @@
 		return nil
 	}
 	return verdict.New(verdict.NotRun, verdict.NoReplica, "%d of %d shards have a replica that answers, %d are needed",
-		likely, len(f.parts), f.floor).WithRetryAfter(retryAfter)
+		likely, len(f.parts), f.floor).WithRetryAfter(f.engine.returnAfter(now))
 }
 
 // floorOf returns the least number of shards that makes an answer. The small amount keeps 0.95 of 20, which is
--- a/internal/lookup/load.go
+++ b/internal/lookup/load.go
@@ -49,6 +49,9 @@
 	rejectAt time.Time
 	silent   int // sends in a row without an answer
 	suspect  time.Time
+	// probing is set while a probe runs; reached is when the last successful one ended.
+	probing bool
+	reached time.Time
 	// misdirected is set when another process answers at the address.
 	misdirected bool
 	coldSends   []time.Time
@@ -243,12 +246,37 @@
 func (l *load) contact(now time.Time) (silent, sound bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return now.Before(l.suspect) || l.stalled(now) && now.Sub(l.heard) > soundFor, now.Sub(l.heard) <= soundFor
+	sound = now.Sub(l.heard) <= soundFor || now.Sub(l.reached) <= soundFor
+	return now.Before(l.suspect) || l.stalled(now) && !sound, sound
 }
 
-// revive forgets the silence of a replica.
-func (l *load) revive() {
+// suspectUntil takes the replica for silent until the time, without counting it as a failure of its own.
+func (l *load) suspectUntil(until time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.silent, l.suspect = 0, time.Time{}
+	if until.After(l.suspect) {
+		l.suspect = until
+	}
+}
+
+// startProbe tells whether a probe may start; one runs at a time.
+func (l *load) startProbe() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.probing {
+		return false
+	}
+	l.probing = true
+	return true
+}
+
+// endProbe ends a probe. A replica that was reached counts as heard of, and is no longer taken for silent.
+func (l *load) endProbe(now time.Time, reached bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.probing = false
+	if reached {
+		l.suspect = time.Time{}
+		l.reached = now
+	}
 }
--- a/internal/lookup/reach.go
+++ b/internal/lookup/reach.go
@@ -12,20 +12,24 @@
 )
 
 const (
-	// isolationEvidence is the least number of silent replicas in other zones that show a cut: fewer may have failed by
-	// themselves at the same time.
-	isolationEvidence = 4
+	// cutEvidence is the least number of silent replicas in a zone, with none that answers, that shows that the zone is
+	// cut off or down. Fewer may have failed by themselves at the same time.
+	cutEvidence = 4
 	// soundFor is how long an answer from another zone shows that it is reached.
 	soundFor = 300 * time.Millisecond
-	// probeInterval is how often replicas of other zones are tried while this instance is cut off.
-	probeInterval = 250 * time.Millisecond
-	// probesAtOnce is how many of them are tried together.
-	probesAtOnce = 3
-	// probeTimeout bounds one probe.
+	// checkReach is how often the contact to other zones is judged.
+	checkReach = 100 * time.Millisecond
+	// cutSuspicion is how long the replicas of a zone that was found cut off are taken for silent at a time.
+	cutSuspicion = 500 * time.Millisecond
+	// probesAtOnce is how many silent replicas are tried together, and probeTimeout bounds each try.
+	probesAtOnce = 8
 	probeTimeout = 200 * time.Millisecond
 	// trialInterval is how often a request is let through that most likely cannot reach its floor, to find out whether
 	// replicas are back.
 	trialInterval = 200 * time.Millisecond
+	// balancerDelay is how long the balancer goes on sending callers to an instance that has stopped being ready: it asks
+	// once a second and takes the instance out after two answers.
+	balancerDelay = 2200 * time.Millisecond
 )
 
 // Prober opens a connection to a replica.
@@ -39,9 +43,11 @@
 	sound  bool
 }
 
-// isolated decides from the contact to the other zones whether this instance is cut off from all of them: silent
-// replicas in number, and none that answers. It answers a zone that is cut off from the others while its callers still
-// reach it; most of their requests cannot be served here, but can be elsewhere.
+// cut decides whether the zone is cut off from this instance or down as a whole.
+func (c contact) cut() bool { return !c.sound && c.silent >= cutEvidence }
+
+// isolated decides whether this instance is cut off from all other zones. It answers a zone that is cut off while its
+// callers still reach it; most of their requests cannot be served here, but can be elsewhere.
 func isolated(remote map[fleet.ZoneID]contact) bool {
 	silent := 0
 	for _, zone := range remote {
@@ -50,7 +56,7 @@
 		}
 		silent += zone.silent
 	}
-	return silent >= isolationEvidence
+	return silent >= cutEvidence
 }
 
 // isolation is the engine's belief about its own place in the network.
@@ -67,37 +73,49 @@
 	return !e.isolation.since.IsZero()
 }
 
-// WatchIsolation keeps the belief up to date until ctx ends.
-func (e *Engine) WatchIsolation(ctx context.Context, prober Prober) {
-	ticker := time.NewTicker(probeInterval)
+// returnAfter tells a caller of an isolated instance when the balancer will send it elsewhere; otherwise it returns the
+// usual time.
+func (e *Engine) returnAfter(now time.Time) time.Duration {
+	e.isolation.mutex.Lock()
+	defer e.isolation.mutex.Unlock()
+	if e.isolation.since.IsZero() {
+		return retryAfter
+	}
+	return max(retryAfter, e.isolation.since.Add(balancerDelay).Sub(now))
+}
+
+// WatchReach judges the contact to the other zones and tries silent replicas until ctx ends.
+func (e *Engine) WatchReach(ctx context.Context, prober Prober) {
+	ticker := time.NewTicker(checkReach)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			e.checkIsolation(ctx, prober, now)
+			e.judgeZones(now)
+			e.probe(ctx, prober, now)
 		}
 	}
 }
 
-func (e *Engine) checkIsolation(ctx context.Context, prober Prober, now time.Time) {
-	if !e.Isolated() {
-		remote := e.contacts(now)
-		if isolated(remote) && !e.reachesFloors(now) {
-			e.setIsolated(now)
-			klog.InfoS("Isolated", "zone", e.zone, "contacts", len(remote))
+// judgeZones takes every replica of a zone that is cut off for silent at once, instead of one after the other as each
+// lets a request wait in vain.
+func (e *Engine) judgeZones(now time.Time) {
+	remote := e.contacts(now)
+	for _, m := range e.remotes() {
+		if remote[m.Zone].cut() {
+			m.load.suspectUntil(now.Add(cutSuspicion))
 		}
-		return
-	}
-	if !e.probe(ctx, prober, now) {
-		return
 	}
-	for _, m := range e.remotes() {
-		m.load.revive()
+	switch was, is := e.Isolated(), isolated(remote); {
+	case !was && is && !e.reachesFloors(now):
+		e.setIsolated(now)
+		klog.InfoS("Isolated", "zone", e.zone, "contacts", len(remote))
+	case was && !is:
+		e.setIsolated(time.Time{})
+		klog.InfoS("Isolation ended", "zone", e.zone)
 	}
-	e.setIsolated(time.Time{})
-	klog.InfoS("Isolation ended", "zone", e.zone)
 }
 
 func (e *Engine) setIsolated(since time.Time) {
@@ -171,25 +189,31 @@
 	return false
 }
 
-// probe tries some replicas of other zones and tells whether one was reached.
-func (e *Engine) probe(ctx context.Context, prober Prober, now time.Time) bool {
-	remotes := e.remotes()
-	if len(remotes) == 0 {
-		return true
-	}
-	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	reached := make(chan bool, probesAtOnce)
-	start := int(now.UnixNano() / int64(probeInterval) * probesAtOnce % int64(len(remotes)))
-	for i := range probesAtOnce {
-		m := remotes[(start+i)%len(remotes)]
-		go func() { reached <- prober.Probe(bounded, m.Replica) == nil }()
+// probe opens connections to some of the silent replicas. One that accepts may get a request again, also before its
+// suspicion ends; if it does not answer that one, it is suspected for longer than before. While a zone is cut off no
+// request would ever show that it is back.
+func (e *Engine) probe(ctx context.Context, prober Prober, now time.Time) {
+	var silent []member
+	for _, g := range e.plan.Load().groups {
+		for i := range g.members {
+			if g.members[i].load.silentNow(now) {
+				silent = append(silent, g.members[i])
+			}
+		}
 	}
-	found := false
-	for range probesAtOnce {
-		found = <-reached || found
+	first := e.nextProbe
+	for i := range min(probesAtOnce, len(silent)) {
+		m := silent[(first+i)%len(silent)]
+		e.nextProbe++
+		if !m.load.startProbe() {
+			continue
+		}
+		go func() {
+			bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			m.load.endProbe(time.Now(), prober.Probe(bounded, m.Replica) == nil)
+		}()
 	}
-	return found
 }
 
 // mayTry lets one request through in each interval.
