--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -105,14 +105,16 @@
 // Restored records that the store answers again after an outage.
 func (d *Directory) Restored(now time.Time) { d.restored = now }
 
-// Apply takes changes in the order of their revisions and tells whether the view is another one afterwards. Most
-// changes are heartbeats that alter nothing.
-func (d *Directory) Apply(changes []Change, now time.Time) bool {
-	altered := false
+// Apply takes changes in the order of their revisions and returns those that alter something. Most changes are heartbeats
+// that do not.
+func (d *Directory) Apply(changes []Change, now time.Time) []Change {
+	var altering []Change
 	for i := range changes {
-		altered = d.apply(&changes[i], now) || altered
+		if d.apply(&changes[i], now) {
+			altering = append(altering, changes[i])
+		}
 	}
-	return altered
+	return altering
 }
 
 func (d *Directory) apply(change *Change, now time.Time) bool {
@@ -127,13 +129,12 @@
 		return d.setZone(change.Zone, !change.Gone)
 	case change.Registered != nil:
 		former, listed := d.instances[change.Instance]
+		_, gone := d.instancesGone[change.Instance]
 		d.instances[change.Instance] = *change.Registered
 		delete(d.instancesGone, change.Instance)
-		return !listed || former != *change.Registered
+		return !listed || gone || former != *change.Registered
 	case change.Instance != "":
-		if _, listed := d.instances[change.Instance]; listed {
-			d.instancesGone[change.Instance] = now
-		}
+		return d.loseInstance(change.Instance, now)
 	case change.Entry != nil:
 		former, listed := d.replicas[change.Replica]
 		d.replicas[change.Replica] = *change.Entry
@@ -145,6 +146,18 @@
 	return false
 }
 
+// loseInstance records that an instance's entry is gone. It counts for a while longer.
+func (d *Directory) loseInstance(id fleet.InstanceID, now time.Time) bool {
+	if _, listed := d.instances[id]; !listed {
+		return false
+	}
+	if _, gone := d.instancesGone[id]; gone {
+		return false
+	}
+	d.instancesGone[id] = now
+	return true
+}
+
 func (d *Directory) setZone(zone fleet.ZoneID, out bool) bool {
 	_, was := d.zonesOut[zone]
 	if out {
@@ -179,34 +192,67 @@
 	return true
 }
 
-// Replace takes a whole list of the store: what it does not name is gone. It tells whether the view is another one.
-func (d *Directory) Replace(changes []Change, now time.Time) bool {
-	listed := make(map[fleet.ServerID]struct{}, len(changes))
-	out := make(map[fleet.ZoneID]struct{})
-	registered := make(map[fleet.InstanceID]struct{})
-	for i := range changes {
-		registered[changes[i].Instance] = struct{}{}
-		if changes[i].Entry != nil {
-			listed[changes[i].Replica] = struct{}{}
+// Replace takes a whole list of the store: what it does not name is gone. It returns the changes that alter something.
+func (d *Directory) Replace(listed []Change, now time.Time) []Change {
+	replicas := make(map[fleet.ServerID]struct{}, len(listed))
+	zones := make(map[fleet.ZoneID]struct{})
+	instances := make(map[fleet.InstanceID]struct{})
+	for i := range listed {
+		if listed[i].Entry != nil {
+			replicas[listed[i].Replica] = struct{}{}
 		}
-		if changes[i].Zone != "" {
-			out[changes[i].Zone] = struct{}{}
+		zones[listed[i].Zone] = struct{}{}
+		instances[listed[i].Instance] = struct{}{}
+	}
+	changes := slices.Clone(listed)
+	for _, zone := range slices.Sorted(maps.Keys(d.zonesOut)) {
+		if _, ok := zones[zone]; !ok {
+			changes = append(changes, Change{Zone: zone, Gone: true})
 		}
 	}
-	altered := !maps.Equal(out, d.zonesOut)
-	d.zonesOut = out
-	altered = d.Apply(changes, now) || altered
-	for id := range maps.Clone(d.replicas) {
-		if _, ok := listed[id]; !ok {
-			altered = d.remove(id, now) || altered
+	for _, id := range slices.Sorted(maps.Keys(d.replicas)) {
+		if _, ok := replicas[id]; !ok {
+			changes = append(changes, Change{Replica: id, Gone: true})
 		}
 	}
-	for id := range d.instances {
-		if _, ok := registered[id]; !ok && d.instancesGone[id].IsZero() {
-			d.instancesGone[id] = now
+	for _, id := range slices.Sorted(maps.Keys(d.instances)) {
+		if _, ok := instances[id]; !ok {
+			changes = append(changes, Change{Instance: id, Gone: true})
+		}
+	}
+	return d.Apply(changes, now)
+}
+
+// All returns the whole state as changes, as a list of the store would.
+func (d *Directory) All() []Change {
+	var all []Change
+	if d.table != nil {
+		all = append(all, Change{Table: d.table})
+	}
+	for _, zone := range slices.Sorted(maps.Keys(d.zonesOut)) {
+		all = append(all, Change{Zone: zone})
+	}
+	for _, id := range slices.Sorted(maps.Keys(d.replicas)) {
+		entry := d.replicas[id]
+		all = append(all, Change{Replica: id, Entry: &entry})
+	}
+	for _, id := range slices.Sorted(maps.Keys(d.instances)) {
+		if registered := d.instances[id]; d.instancesGone[id].IsZero() {
+			all = append(all, Change{Instance: id, Registered: &registered})
+		}
+	}
+	return all
+}
+
+// Present returns the instances whose entries are there now.
+func (d *Directory) Present() []Instance {
+	var present []Instance
+	for _, id := range slices.Sorted(maps.Keys(d.instances)) {
+		if _, gone := d.instancesGone[id]; !gone {
+			present = append(present, d.instances[id])
 		}
 	}
-	return altered
+	return present
 }
 
 // Replicas returns the number of registered replicas.
@@ -217,30 +263,33 @@
 const instanceMemory = 15 * time.Second
 
 // Expire drops the entries that were not renewed in time after an outage, and the instances that are gone for long. It
-// returns how many.
-func (d *Directory) Expire(now time.Time) int {
-	return d.expireInstances(now) + d.expireReplicas(now)
+// returns the replicas that it dropped as changes, and whether the view is another one.
+func (d *Directory) Expire(now time.Time) ([]Change, bool) {
+	dropped := d.expireReplicas(now)
+	instances := d.expireInstances(now)
+	return dropped, instances || len(dropped) > 0
 }
 
-func (d *Directory) expireInstances(now time.Time) int {
-	dropped := 0
+func (d *Directory) expireInstances(now time.Time) bool {
+	dropped := false
 	for id, gone := range d.instancesGone {
 		if now.Sub(gone) >= instanceMemory {
 			delete(d.instances, id)
 			delete(d.instancesGone, id)
-			dropped++
+			dropped = true
 		}
 	}
 	return dropped
 }
 
-func (d *Directory) expireReplicas(now time.Time) int {
+func (d *Directory) expireReplicas(now time.Time) []Change {
 	if len(d.lapsed) == 0 || now.Before(d.restored.Add(lapseGrace)) {
-		return 0
+		return nil
 	}
-	dropped := len(d.lapsed)
-	for id := range d.lapsed {
+	var dropped []Change
+	for _, id := range slices.Sorted(maps.Keys(d.lapsed)) {
 		delete(d.replicas, id)
+		dropped = append(dropped, Change{Replica: id, Gone: true})
 	}
 	clear(d.lapsed)
 	return dropped
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -1,8 +1,9 @@
-// Package follow keeps a directory up to date with the platform's store: it lists once, then asks for changes after a
-// short pause each time, and lists again where changes may have been missed.
+// Package follow keeps a directory up to date with the platform's store.
 //
-// The pause bounds the calls: each replica changes its own entry at every heartbeat, so a watch without a pause would
-// return at once every time. The Follower owns the directory; requests see only the views that it publishes.
+// In each availability zone one instance reads the store: it lists once, then asks for changes after a short pause each
+// time, and lists again where changes may have been missed. The others ask that instance, so that the store's calls grow
+// with the zones; an instance whose source fails asks the store itself, and where the store does not answer it either,
+// any other peer. The Follower owns the directory; requests see only the views that it publishes.
 package follow
 
 import (
@@ -14,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/medlarlatch/medlarlatch/internal/directory"
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
 )
 
 // ErrHistoryGone is the error of Changes where the store no longer has the history after a revision.
@@ -24,8 +26,13 @@
 	// List returns everything that is there and a revision from which Changes goes on.
 	List(ctx context.Context) ([]directory.Change, uint64, error)
 	// Changes returns what changed after the revision, waiting up to wait for the first change, and the revision from
-	// which to go on.
-	Changes(ctx context.Context, after uint64, wait time.Duration) ([]directory.Change, uint64, error)
+	// which to go on. more is set where the answer was full and the next one is there already.
+	Changes(ctx context.Context, after uint64, wait time.Duration) (changes []directory.Change, revision uint64, more bool, err error)
+}
+
+// Peers asks other instances for news.
+type Peers interface {
+	News(ctx context.Context, address string, after uint64, wait time.Duration) (News, error)
 }
 
 const (
@@ -34,6 +41,10 @@
 	longestWait = 1500 * time.Millisecond
 	// replyTimeout bounds the time of an answer beyond the wait; a slow store takes some hundred milliseconds.
 	replyTimeout = 1200 * time.Millisecond
+	// peerTimeout bounds the time of a peer's answer beyond the wait: a few round trips, and a busy processor.
+	peerTimeout = 400 * time.Millisecond
+	// peerPause is how long a peer that failed is not asked again.
+	peerPause = 3 * time.Second
 	// firstRetry doubles after each failure up to longestRetry. Calls are paid for also while the store refuses them.
 	firstRetry   = 100 * time.Millisecond
 	longestRetry = time.Second
@@ -43,46 +54,48 @@
 	busyFleet = 4
 )
 
+// Options are what a Follower is made of.
+type Options struct {
+	Self   directory.Instance
+	Source Source
+	Peers  Peers
+	// Pause is the time between two calls to the store.
+	Pause   time.Duration
+	Random  *rand.Rand
+	Publish func(*directory.View)
+}
+
 // Follower follows one store.
 type Follower struct {
-	source  Source
-	state   *directory.Directory
-	publish func(*directory.View)
-	// pause is the time between two calls.
-	pause  time.Duration
-	random *rand.Rand
-
-	revision uint64
+	Options
+	journal *journal
+	// The rest is used by Run only.
 	listed   bool
 	failures int
-	// lost is when the store was last heard before the failures in progress.
-	lost time.Time
+	// direct is when the store answered this instance last, before the failures in progress.
+	direct time.Time
+	// passed maps peers to the time until which they are not asked.
+	passed map[fleet.InstanceID]time.Time
+	source fleet.InstanceID
 }
 
 // New returns a follower that publishes each altered view.
-func New(source Source, pause time.Duration, random *rand.Rand, publish func(*directory.View)) *Follower {
-	return &Follower{source: source, state: directory.New(), publish: publish, pause: pause, random: random}
+func New(options Options) *Follower {
+	return &Follower{Options: options, journal: newJournal(), passed: make(map[fleet.InstanceID]time.Time)}
+}
+
+// News answers a peer. It is safe for concurrent use.
+func (f *Follower) News(ctx context.Context, after uint64, wait time.Duration) News {
+	return f.journal.since(ctx, after, min(wait, longestWait))
 }
 
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := f.round(ctx); err != nil {
-			f.failed(ctx, err)
-		}
-		f.sleep(ctx, f.untilNext())
+		f.sleep(ctx, f.round(ctx))
 	}
 }
 
-// untilNext returns the pause before the next call.
-func (f *Follower) untilNext() time.Duration {
-	if f.failures == 0 {
-		return f.pause
-	}
-	longest := min(firstRetry<<min(f.failures-1, 10), longestRetry)
-	return longest/2 + time.Duration(f.random.Int64N(int64(longest/2)))
-}
-
 func (f *Follower) sleep(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -92,76 +105,143 @@
 	}
 }
 
-// round makes one call and takes what it brings.
-func (f *Follower) round(ctx context.Context) error {
+// round asks the source of this instance and returns the pause before the next round.
+func (f *Follower) round(ctx context.Context) time.Duration {
+	now := time.Now()
+	if reader, ok := f.reader(now); ok {
+		f.changeSource(reader.ID)
+		if f.ask(ctx, reader) {
+			return 0
+		}
+	}
+	f.changeSource(f.Self.ID)
+	more, err := f.read(ctx)
+	if err == nil {
+		if more {
+			return 0
+		}
+		return f.Pause
+	}
+	f.failed(ctx, err)
+	f.askAnyone(ctx)
+	return f.backoff()
+}
+
+func (f *Follower) changeSource(id fleet.InstanceID) {
+	if f.source != id {
+		klog.InfoS("Source of changes", "former", f.source, "instance", id, "store", id == f.Self.ID)
+		f.source = id
+	}
+}
+
+func (f *Follower) backoff() time.Duration {
+	longest := min(firstRetry<<min(f.failures-1, 10), longestRetry)
+	return longest/2 + time.Duration(f.Random.Int64N(int64(longest/2)))
+}
+
+// read makes one call to the store and takes what it brings.
+func (f *Follower) read(ctx context.Context) (more bool, err error) {
 	if !f.listed {
-		return f.list(ctx)
+		return false, f.list(ctx)
 	}
+	revision := f.revision()
 	bounded, cancel := context.WithTimeout(ctx, longestWait+replyTimeout)
 	defer cancel()
-	changes, revision, err := f.source.Changes(bounded, f.revision, longestWait)
+	changes, next, more, err := f.Source.Changes(bounded, revision, longestWait)
 	if errors.Is(err, ErrHistoryGone) {
-		klog.InfoS("Store history gone", "revision", f.revision)
-		return f.list(ctx)
+		klog.InfoS("Store history gone", "revision", revision)
+		return false, f.list(ctx)
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	now := time.Now()
 	f.heard(now)
 	if len(changes) == 0 {
 		// The position stays: the store may have withheld changes up to the revision that it reports.
-		if f.state.Replicas() >= busyFleet {
-			klog.InfoS("Store reported no change", "revision", f.revision, "waited", longestWait)
-			return f.list(ctx)
+		if f.replicas() >= busyFleet {
+			klog.InfoS("Store reported no change", "revision", revision, "waited", longestWait)
+			return false, f.list(ctx)
 		}
-		return nil
+		f.take(nil, false, revision, 0)
+		return false, nil
 	}
-	f.revision = revision
-	f.altered(f.state.Apply(changes, now), now)
-	return nil
+	f.take(changes, false, next, 0)
+	return more, nil
 }
 
 func (f *Follower) list(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, replyTimeout)
 	defer cancel()
-	changes, revision, err := f.source.List(bounded)
+	changes, revision, err := f.Source.List(bounded)
 	if err != nil {
 		f.listed = false
 		return err
 	}
-	now := time.Now()
-	f.heard(now)
-	f.listed, f.revision = true, revision
-	f.altered(f.state.Replace(changes, now), now)
+	f.heard(time.Now())
+	f.listed = true
+	f.take(changes, true, revision, 0)
 	return nil
 }
 
-func (f *Follower) altered(altered bool, now time.Time) {
-	if dropped := f.state.Expire(now); dropped > 0 {
-		klog.InfoS("Lapsed entries dropped", "entries", dropped, "revision", f.revision)
-		altered = true
+func (f *Follower) revision() uint64 {
+	f.journal.mutex.Lock()
+	defer f.journal.mutex.Unlock()
+	return f.journal.revision
+}
+
+func (f *Follower) replicas() int {
+	f.journal.mutex.Lock()
+	defer f.journal.mutex.Unlock()
+	return f.journal.state.Replicas()
+}
+
+// take puts changes into the directory, as the store had them some time ago, and publishes the view if it is another one.
+func (f *Follower) take(changes []directory.Change, whole bool, revision uint64, age time.Duration) {
+	now := time.Now()
+	j := f.journal
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	var altering []directory.Change
+	if whole {
+		altering = j.state.Replace(changes, now)
+	} else {
+		altering = j.state.Apply(changes, now)
+	}
+	dropped, expired := j.state.Expire(now)
+	if len(dropped) > 0 {
+		klog.InfoS("Lapsed entries dropped", "entries", len(dropped), "revision", revision)
+	}
+	j.revision = max(j.revision, revision)
+	if heard := now.Add(-age); heard.After(j.heard) {
+		j.heard = heard
+	}
+	if whole && j.from == 0 {
+		j.from = revision
 	}
-	if !altered || !f.state.Ready() {
+	j.record(append(altering, dropped...), j.revision)
+	if len(altering) == 0 && !expired || !j.state.Ready() {
 		return
 	}
-	view := f.state.View()
-	klog.InfoS("View changed", "version", view.Table.Version(), "revision", f.revision, "replicas", f.state.Replicas(),
-		"services", len(view.Replicas), "zones-out", view.ZonesOut, "instances", len(view.Instances))
-	f.publish(view)
+	view := j.state.View()
+	klog.InfoS("View changed", "version", view.Table.Version(), "revision", revision, "replicas", j.state.Replicas(),
+		"services", len(view.Replicas), "zones-out", view.ZonesOut, "instances", len(view.Instances), "source", f.source)
+	f.Publish(view)
 }
 
-// heard records that the store answered.
+// heard records that the store answered this instance.
 func (f *Follower) heard(now time.Time) {
 	if f.failures > 0 {
-		outage := now.Sub(f.lost)
-		klog.InfoS("Store regained", "failures", f.failures, "outage", outage, "revision", f.revision)
+		outage := now.Sub(f.direct)
+		klog.InfoS("Store regained", "failures", f.failures, "outage", outage)
 		if outage > shortOutage {
-			f.state.Restored(now)
+			f.journal.mutex.Lock()
+			f.journal.state.Restored(now)
+			f.journal.mutex.Unlock()
 		}
 	}
 	f.failures = 0
-	f.lost = now
+	f.direct = now
 }
 
 func (f *Follower) failed(ctx context.Context, err error) {
@@ -169,7 +249,7 @@
 		return
 	}
 	if f.failures == 0 {
-		klog.InfoS("Store lost", "err", err, "revision", f.revision)
+		klog.InfoS("Store lost", "err", err, "revision", f.revision())
 	}
 	f.failures++
 }
--- /dev/null
+++ b/internal/follow/source.go
@@ -0,0 +1,98 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/medlarlatch/medlarlatch/internal/directory"
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+)
+
+// readerOf returns the instance of the zone that reads the store for the others: the first by rendezvous order of those
+// that have a peer address and have not failed lately. Every instance that knows the same instances finds the same one,
+// and the loss of one moves only its own followers.
+func readerOf(zone fleet.ZoneID, present []directory.Instance, passed func(fleet.InstanceID) bool) (directory.Instance, bool) {
+	byID := make(map[fleet.InstanceID]directory.Instance)
+	var ranked []fleet.InstanceID
+	for _, instance := range present {
+		if instance.Zone == zone && instance.Peers != "" && !passed(instance.ID) {
+			byID[instance.ID] = instance
+			ranked = append(ranked, instance.ID)
+		}
+	}
+	if len(ranked) == 0 {
+		return directory.Instance{}, false
+	}
+	fleet.SortByWeight("reader/"+string(zone), ranked)
+	return byID[ranked[0]], true
+}
+
+// reader returns the peer that this instance asks; false if it reads the store itself.
+func (f *Follower) reader(now time.Time) (directory.Instance, bool) {
+	if !f.listed && f.revision() == 0 {
+		return directory.Instance{}, false
+	}
+	found, ok := readerOf(f.Self.Zone, f.present(), func(id fleet.InstanceID) bool { return now.Before(f.passed[id]) })
+	return found, ok && found.ID != f.Self.ID
+}
+
+func (f *Follower) present() []directory.Instance {
+	f.journal.mutex.Lock()
+	defer f.journal.mutex.Unlock()
+	return f.journal.state.Present()
+}
+
+// ask takes the news of a peer. It fails if the peer does not answer or has not heard the store for so long that this
+// instance may do better; then the peer is passed over for a while.
+func (f *Follower) ask(ctx context.Context, peer directory.Instance) bool {
+	bounded, cancel := context.WithTimeout(ctx, f.Pause+peerTimeout)
+	defer cancel()
+	after := f.revision()
+	news, err := f.Peers.News(bounded, peer.Peers, after, f.Pause)
+	if err != nil || news.Age > f.freshFor() {
+		if ctx.Err() == nil {
+			klog.InfoS("Peer passed over", "instance", peer.ID, "age", news.Age, "err", err)
+			f.passed[peer.ID] = time.Now().Add(peerPause)
+		}
+		return false
+	}
+	f.learn(news)
+	return true
+}
+
+// freshFor is how old a peer's news may be: its pause between two calls, and the time of a call.
+func (f *Follower) freshFor() time.Duration { return f.Pause + replyTimeout }
+
+func (f *Follower) learn(news News) {
+	f.take(news.Changes, news.Whole, news.Revision, news.Age)
+	// The position is now the peer's, from which the store can be asked as well.
+	f.listed = true
+}
+
+// askAnyone asks a peer of any zone for what it has, because the store does not answer this instance. It answers a store
+// that serves other machines, and a machine that is cut off from the store only.
+func (f *Follower) askAnyone(ctx context.Context) {
+	var others []directory.Instance
+	now := time.Now()
+	for _, instance := range f.present() {
+		if instance.ID != f.Self.ID && instance.Peers != "" && !now.Before(f.passed[instance.ID]) {
+			others = append(others, instance)
+		}
+	}
+	if len(others) == 0 {
+		return
+	}
+	peer := others[f.Random.IntN(len(others))]
+	bounded, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	news, err := f.Peers.News(bounded, peer.Peers, f.revision(), 0)
+	if err != nil {
+		f.passed[peer.ID] = time.Now().Add(peerPause)
+		return
+	}
+	if news.Revision > f.revision() {
+		f.learn(news)
+	}
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -134,8 +135,10 @@
 	return all
 }
 
-// Services returns the number of services.
-func (t *Table) Services() int { return len(t.services) }
+// Services returns what operators say of all services, in no particular order.
+func (t *Table) Services() []Service {
+	return slices.Collect(maps.Values(t.services))
+}
 
 // Match returns the route of the host with the longest prefix that begins the path, or nil. The host may carry a port.
 func (t *Table) Match(host, path string) *Route {
