--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -55,7 +55,7 @@
 	running   atomic.Int64
 	tried     atomic.Int64 // Unix nanoseconds of the last request let through by mayTry
 	isolation isolation
-	nextProbe int // used by the goroutine of WatchReach only
+	reach     reach // used by the goroutine of WatchReach only
 	counters  Counters
 	paces     sync.Map // name of a route to *pace
 
@@ -73,6 +73,7 @@
 		forgotten: options.Forget,
 		loads:     make(map[fleet.ServerID]known),
 		budgets:   make(map[fleet.ServiceID]*budget),
+		reach:     reach{doubtful: make(map[fleet.ZoneID]time.Time)},
 	}
 	e.SetExtra(options.Extra)
 	e.draw.Store(options.Random.Uint64())
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -118,7 +118,7 @@
 		}
 	}
 	likely := f.engine.likely(current, f.request.Route.Shards, now)
-	if likely >= f.floor || f.engine.mayTry(now) {
+	if likely >= f.floor || !f.engine.Isolated() && f.engine.mayTry(now) {
 		return nil
 	}
 	return verdict.New(verdict.NotRun, verdict.NoReplica, "%d of %d shards have a replica that answers, %d are needed",
@@ -346,10 +346,11 @@
 	return hopeful
 }
 
-// sound tells whether the part waits at a replica that is not silent.
+// sound tells whether the part waits at a replica that is not silent, or has not waited for long: its send may be the one
+// that shows that the replica answers again.
 func (p *part) sound(now time.Time) bool {
 	for _, a := range p.attempts {
-		if !a.ended && !a.to.load.silentNow(now) {
+		if !a.ended && (now.Sub(a.sent) < stallAfter(a.expected) || !a.to.load.silentNow(now)) {
 			return true
 		}
 	}
--- a/internal/lookup/load.go
+++ b/internal/lookup/load.go
@@ -49,8 +49,10 @@
 	rejectAt time.Time
 	silent   int // sends in a row without an answer
 	suspect  time.Time
-	// probing is set while a probe runs; reached is when the last successful one ended.
+	// probing is set while a probe runs; reached is when the last successful one ended. vouched is set once a probe has
+	// ended a suspicion, until the replica answers a request.
 	probing bool
+	vouched bool
 	reached time.Time
 	// misdirected is set when another process answers at the address.
 	misdirected bool
@@ -82,7 +84,7 @@
 	switch {
 	case outcome.answered():
 		l.heard = now
-		l.silent = 0
+		l.silent, l.vouched = 0, false
 		l.suspect = time.Time{}
 		if outcome.Reason == verdict.None {
 			l.observe(now, elapsed, ended.expected)
@@ -102,10 +104,10 @@
 	}
 }
 
-// unanswered records a send that was given up. A short wait says nothing; a long one counts as at least that slow, and
-// as silence if nothing else was heard meanwhile.
+// unanswered records a send that was given up. A short wait says nothing, nor does one that began before the replica was
+// reached again; a long one counts as at least that slow, and as silence if nothing else was heard meanwhile.
 func (l *load) unanswered(now time.Time, elapsed time.Duration, ended waiting) {
-	if elapsed < stallAfter(ended.expected) {
+	if elapsed < stallAfter(ended.expected) || ended.sent.Before(l.reached) {
 		return
 	}
 	l.observe(now, elapsed, ended.expected)
@@ -235,11 +237,12 @@
 	return true
 }
 
-// silentNow tells whether the replica has lately not answered at all.
+// silentNow tells whether the replica has lately not answered at all. After a suspicion has ended, the first request
+// shows whether it answers again; until then it counts as silent for the others.
 func (l *load) silentNow(now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.misdirected || now.Before(l.suspect)
+	return l.misdirected || now.Before(l.suspect) || l.silent > 0 && len(l.waiting) > 0
 }
 
 // contact tells whether the replica is silent, and whether it has answered just now.
@@ -259,24 +262,31 @@
 	}
 }
 
-// startProbe tells whether a probe may start; one runs at a time.
-func (l *load) startProbe() bool {
+// startProbe tells whether the replica should be probed, and counts the probe as running. With sound also one that is not
+// known to be silent is probed.
+func (l *load) startProbe(now time.Time, sound bool) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.probing {
+	if l.probing || l.misdirected {
 		return false
 	}
-	l.probing = true
-	return true
+	l.probing = sound || !l.vouched && (l.silent > 0 || now.Before(l.suspect))
+	return l.probing
 }
 
-// endProbe ends a probe. A replica that was reached counts as heard of, and is no longer taken for silent.
+// endProbe ends a probe. A replica that was reached is no longer taken for silent. One that accepts connections but
+// answers no request is vouched for only once.
 func (l *load) endProbe(now time.Time, reached bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.probing = false
-	if reached {
+	if !reached {
+		return
+	}
+	l.reached = now
+	if !l.vouched && (l.silent > 0 || now.Before(l.suspect)) {
+		l.vouched = true
 		l.suspect = time.Time{}
-		l.reached = now
+		l.slowness = 0
 	}
 }
--- a/internal/lookup/reach.go
+++ b/internal/lookup/reach.go
@@ -24,6 +24,11 @@
 	// probesAtOnce is how many silent replicas are tried together, and probeTimeout bounds each try.
 	probesAtOnce = 8
 	probeTimeout = 200 * time.Millisecond
+	// doubtFor is how long a zone is in doubt before it is taken for cut off; probes end before.
+	doubtFor = 250 * time.Millisecond
+	// triesAZone is how many replicas of a zone in doubt are tried at each check, whether they are known to be silent or
+	// not.
+	triesAZone = 3
 	// trialInterval is how often a request is let through that most likely cannot reach its floor, to find out whether
 	// replicas are back.
 	trialInterval = 200 * time.Millisecond
@@ -43,20 +48,42 @@
 	sound  bool
 }
 
-// cut decides whether the zone is cut off from this instance or down as a whole.
-func (c contact) cut() bool { return !c.sound && c.silent >= cutEvidence }
+// doubtful tells whether the zone may be cut off from this instance or down as a whole.
+func (c contact) doubtful() bool { return !c.sound && c.silent >= cutEvidence }
 
-// isolated decides whether this instance is cut off from all other zones. It answers a zone that is cut off while its
-// callers still reach it; most of their requests cannot be served here, but can be elsewhere.
-func isolated(remote map[fleet.ZoneID]contact) bool {
-	silent := 0
+// reach judges the other zones from the contact to them. A zone in doubt is taken for cut off once replicas of it that
+// were not known to be silent have been tried in vain: the silent ones may be shards that are down for everyone.
+type reach struct {
+	doubtful map[fleet.ZoneID]time.Time // when the doubt began
+}
+
+// judge returns the zones that are cut off, and whether any is in doubt, so that replicas should be tried.
+func (r *reach) judge(remote map[fleet.ZoneID]contact, now time.Time) (cut map[fleet.ZoneID]bool, doubt bool) {
+	cut = make(map[fleet.ZoneID]bool)
+	for id, zone := range remote {
+		began, known := r.doubtful[id]
+		switch {
+		case !zone.doubtful():
+			delete(r.doubtful, id)
+		case !known:
+			r.doubtful[id] = now
+		case now.Sub(began) >= doubtFor:
+			cut[id] = true
+		}
+	}
+	return cut, len(r.doubtful) > 0
+}
+
+// isolated decides whether this instance is cut off from all other zones: one is cut off and none answers. It answers a
+// zone that is cut off while its callers still reach it; most of their requests cannot be served here, but can be
+// elsewhere.
+func isolated(remote map[fleet.ZoneID]contact, cut map[fleet.ZoneID]bool) bool {
 	for _, zone := range remote {
 		if zone.sound {
 			return false
 		}
-		silent += zone.silent
 	}
-	return silent >= cutEvidence
+	return len(cut) > 0
 }
 
 // isolation is the engine's belief about its own place in the network.
@@ -93,7 +120,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			e.judgeZones(now)
+			e.judgeZones(ctx, prober, now)
 			e.probe(ctx, prober, now)
 		}
 	}
@@ -101,23 +128,46 @@
 
 // judgeZones takes every replica of a zone that is cut off for silent at once, instead of one after the other as each
 // lets a request wait in vain.
-func (e *Engine) judgeZones(now time.Time) {
+func (e *Engine) judgeZones(ctx context.Context, prober Prober, now time.Time) {
 	remote := e.contacts(now)
+	cut, doubt := e.reach.judge(remote, now)
+	if doubt {
+		e.tryZones(ctx, prober, remote, now)
+	}
 	for _, m := range e.remotes() {
-		if remote[m.Zone].cut() {
+		if cut[m.Zone] {
 			m.load.suspectUntil(now.Add(cutSuspicion))
 		}
 	}
-	switch was, is := e.Isolated(), isolated(remote); {
+	switch was, is := e.Isolated(), isolated(remote, cut); {
 	case !was && is && !e.reachesFloors(now):
 		e.setIsolated(now)
-		klog.InfoS("Isolated", "zone", e.zone, "contacts", len(remote))
+		klog.InfoS("Isolated", "zone", e.zone, "zones-cut", len(cut), "zones", len(remote))
 	case was && !is:
 		e.setIsolated(time.Time{})
 		klog.InfoS("Isolation ended", "zone", e.zone)
 	}
 }
 
+// tryZones probes some replicas of each zone of which none has answered just now.
+func (e *Engine) tryZones(ctx context.Context, prober Prober, remote map[fleet.ZoneID]contact, now time.Time) {
+	started := make(map[fleet.ZoneID]int)
+	for _, m := range e.remotes() {
+		if !remote[m.Zone].sound && started[m.Zone] < triesAZone && m.load.startProbe(now, true) {
+			started[m.Zone]++
+			e.startProbe(ctx, prober, m)
+		}
+	}
+}
+
+func (e *Engine) startProbe(ctx context.Context, prober Prober, m member) {
+	go func() {
+		bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		m.load.endProbe(time.Now(), prober.Probe(bounded, m.Replica) == nil)
+	}()
+}
+
 func (e *Engine) setIsolated(since time.Time) {
 	e.isolation.mutex.Lock()
 	defer e.isolation.mutex.Unlock()
@@ -190,30 +240,21 @@
 }
 
 // probe opens connections to some of the silent replicas. One that accepts may get a request again, also before its
-// suspicion ends; if it does not answer that one, it is suspected for longer than before. While a zone is cut off no
-// request would ever show that it is back.
+// suspicion ends. While a zone is cut off no request would ever show that it is back.
 func (e *Engine) probe(ctx context.Context, prober Prober, now time.Time) {
-	var silent []member
+	started := 0
 	for _, g := range e.plan.Load().groups {
 		for i := range g.members {
-			if g.members[i].load.silentNow(now) {
-				silent = append(silent, g.members[i])
+			m := g.members[i]
+			if started == probesAtOnce {
+				return
+			}
+			if m.load.startProbe(now, false) {
+				started++
+				e.startProbe(ctx, prober, m)
 			}
 		}
 	}
-	first := e.nextProbe
-	for i := range min(probesAtOnce, len(silent)) {
-		m := silent[(first+i)%len(silent)]
-		e.nextProbe++
-		if !m.load.startProbe() {
-			continue
-		}
-		go func() {
-			bounded, cancel := context.WithTimeout(ctx, probeTimeout)
-			defer cancel()
-			m.load.endProbe(time.Now(), prober.Probe(bounded, m.Replica) == nil)
-		}()
-	}
 }
 
 // mayTry lets one request through in each interval.
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -113,7 +113,7 @@
 	case a.outcome.Verdict == verdict.NotRun:
 		s.part.mayRun--
 		s.trace.Rejected++
-	case a.outcome.answered():
+	case a.outcome.Reason == verdict.ServerError:
 		s.last = &a.outcome
 	}
 	if s.part.live() {
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,73 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+)
+
+// TestMatch guards against a request that takes a shorter prefix, another host's route or one that was dropped.
+func TestMatch(t *testing.T) {
+	table := New(1, []*Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "A.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/y/z/"},
+	}, nil, Limits{}, nil)
+	for name, test := range map[string]struct{ host, path, route string }{
+		"longest prefix":  {"a.example", "/x/y/z", "long"},
+		"shorter prefix":  {"a.example", "/x/z", "short"},
+		"case and port":   {"A.EXAMPLE:8080", "/x/", "short"},
+		"without slash":   {"a.example", "/x", ""},
+		"another host":    {"b.example", "/x/y/", ""},
+		"unknown host":    {"c.example", "/x/", ""},
+		"prefix mid-path": {"a.example", "/q/x/", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			found := ""
+			if route := table.Match(test.host, test.path); route != nil {
+				found = route.Name
+			}
+			is.New(t).Equal(found, test.route)
+		})
+	}
+}
+
+// TestSharesFollowWeights guards against a service that gets a share off its weight in a short run of requests, also
+// when a new version comes in the middle.
+func TestSharesFollowWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(0, 20), 2, 5).Draw(t, "weights")
+		weights[0] = max(weights[0], 1)
+		shares := make([]Share, len(weights))
+		total := 0
+		for i, weight := range weights {
+			shares[i] = Share{Service: fleet.ServiceID('a' + rune(i)), Weight: weight}
+			total += weight
+		}
+		table := New(1, []*Route{{Name: "r", Host: "h", Prefix: "/", Shares: shares}}, nil, Limits{}, nil)
+		count := make(map[fleet.ServiceID]int)
+		requests := rapid.IntRange(1, 400).Draw(t, "requests")
+		for i := range requests {
+			if i == requests/2 {
+				table = New(2, []*Route{{Name: "r", Host: "h", Prefix: "/", Shares: shares}}, nil, Limits{}, table)
+			}
+			count[table.Match("h", "/").Choose()]++
+		}
+		for _, share := range shares {
+			exact := float64(requests*share.Weight) / float64(total)
+			if off := float64(count[share.Service]) - exact; off > float64(len(shares)) || off < -float64(len(shares)) {
+				t.Fatalf("%s got %d of %d, weight %d of %d", share.Service, count[share.Service], requests, share.Weight, total)
+			}
+		}
+	})
+}
+
+// TestNoWeight guards against a crash, and against a request to a service without a weight.
+func TestNoWeight(t *testing.T) {
+	is := is.New(t)
+	r := &Route{Shares: []Share{{Service: "a"}, {Service: "b"}}}
+	is.Equal(r.Choose(), fleet.ServiceID(""))
+}
