--- /dev/null
+++ b/internal/backend/relay_test.go
@@ -0,0 +1,307 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+// script answers the requests on one connection; it returns false to close it.
+type script func(conn net.Conn, request *http.Request, number int) bool
+
+// server is a backend server on loopback that follows a script for each connection.
+type scripted struct {
+	fleet.Server
+	connections atomic.Int32
+	requests    atomic.Int32
+}
+
+func serveScript(t *testing.T, answer script) *scripted {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &scripted{Server: fleet.Server{ID: "r", Address: listener.Addr().String()}}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go s.talk(conn, answer)
+		}
+	}()
+	return s
+}
+
+func (s *scripted) talk(conn net.Conn, answer script) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for number := 1; ; number++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		s.requests.Add(1)
+		if !answer(conn, request, number) {
+			return
+		}
+	}
+}
+
+func okAnswer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func messageOf(id string, wait time.Duration) *Message {
+	return &Message{
+		Method:   http.MethodGet,
+		Deadline: time.Now().Add(wait),
+		Render: func(buffer []byte, _ time.Duration) []byte {
+			return append(buffer, "GET / HTTP/1.1\r\nHost: h\r\nId: "+id+"\r\n\r\n"...)
+		},
+		Mine: func(header http.Header) bool { return header.Get("Id") == id },
+	}
+}
+
+// TestRelayAnswers replays what faulty servers send. It guards against an answer that is not whole or not this request's,
+// and against a wrong word on whether the request may have run.
+func TestRelayAnswers(t *testing.T) {
+	reset := func(conn net.Conn) {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	for name, test := range map[string]struct {
+		answer  script
+		body    string
+		verdict verdict.Verdict
+		reason  verdict.Reason
+	}{
+		"whole": {func(c net.Conn, r *http.Request, _ int) bool {
+			_, _ = io.WriteString(c, okAnswer(r.Header.Get("Id"), "yes"))
+			return true
+		}, "yes", 0, verdict.None},
+		"in chunks": {func(c net.Conn, r *http.Request, _ int) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n")
+			return true
+		}, "yes", 0, verdict.None},
+		"without length": {func(c net.Conn, r *http.Request, _ int) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\n\r\nyes")
+			return false
+		}, "yes", 0, verdict.None},
+		"interim answer first": {func(c net.Conn, r *http.Request, _ int) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+okAnswer(r.Header.Get("Id"), "yes"))
+			return true
+		}, "yes", 0, verdict.None},
+		"another's answer first": {func(c net.Conn, r *http.Request, _ int) bool {
+			_, _ = io.WriteString(c, okAnswer("earlier", "no")+okAnswer(r.Header.Get("Id"), "yes"))
+			return true
+		}, "yes", 0, verdict.None},
+		"only others' answers": {func(c net.Conn, _ *http.Request, _ int) bool {
+			_, _ = io.WriteString(c, strings.Repeat(okAnswer("earlier", "no"), 4))
+			return true
+		}, "", verdict.MayHaveRun, verdict.BadAnswer},
+		"without length, reset": {func(c net.Conn, r *http.Request, _ int) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\n\r\nyes")
+			time.Sleep(20 * time.Millisecond)
+			reset(c)
+			return false
+		}, "", verdict.MayHaveRun, verdict.BadAnswer},
+		"cut short": {func(c net.Conn, r *http.Request, _ int) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 10\r\n\r\nyes")
+			return false
+		}, "", verdict.MayHaveRun, verdict.BadAnswer},
+		"chunks cut short": {func(c net.Conn, r *http.Request, _ int) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n")
+			return false
+		}, "", verdict.MayHaveRun, verdict.BadAnswer},
+		"no answer": {func(c net.Conn, _ *http.Request, _ int) bool {
+			reset(c)
+			return false
+		}, "", verdict.MayHaveRun, verdict.ConnectionLost},
+		"not HTTP": {func(c net.Conn, _ *http.Request, _ int) bool {
+			_, _ = io.WriteString(c, "\x00\x01 what is this\r\n\r\n")
+			return false
+		}, "", verdict.MayHaveRun, verdict.BadAnswer},
+		"silent": {func(net.Conn, *http.Request, int) bool {
+			time.Sleep(time.Second)
+			return false
+		}, "", verdict.MayHaveRun, verdict.DeadlinePassed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serveScript(t, test.answer)
+			r := NewRelay(nil)
+			answer, failure := r.Do(t.Context(), s.Server, 2, messageOf("mine", 200*time.Millisecond))
+			if test.reason == verdict.None {
+				is.True(failure == nil)
+				is.Equal(string(answer.Body), test.body)
+				return
+			}
+			is.True(failure != nil)
+			is.Equal(failure.Verdict, test.verdict)
+			is.Equal(failure.Reason, test.reason)
+			is.Equal(s.requests.Load(), int32(1)) // nothing is sent twice
+		})
+	}
+}
+
+// TestRelayExtraAnswer guards against a second answer that is taken for the next request's, whether it comes before or
+// after that request is sent.
+func TestRelayExtraAnswer(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"at once": 0, "late": 30 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serveScript(t, func(c net.Conn, r *http.Request, _ int) bool {
+				id := r.Header.Get("Id")
+				_, _ = io.WriteString(c, okAnswer(id, id))
+				time.Sleep(delay)
+				_, _ = io.WriteString(c, okAnswer(id, id))
+				return true
+			})
+			r := NewRelay(nil)
+			for i := range 20 {
+				id := fmt.Sprint("request-", i)
+				answer, failure := r.Do(t.Context(), s.Server, 2, messageOf(id, time.Second))
+				is.True(failure == nil)
+				is.Equal(string(answer.Body), id)
+			}
+		})
+	}
+}
+
+// TestRelayReuse guards against connections that are opened for each request, and against requests on one that the server
+// has closed or will close by its announced timeout.
+func TestRelayReuse(t *testing.T) {
+	for name, test := range map[string]struct {
+		header      string
+		keep        bool
+		wait        time.Duration
+		connections int32
+	}{
+		"kept":               {"", true, 0, 1},
+		"closed by server":   {"Connection: close\r\n", false, 0, 5},
+		"closed while idle":  {"", false, 30 * time.Millisecond, 5},
+		"timeout announced":  {"Keep-Alive: timeout=1\r\n", true, 30 * time.Millisecond, 5},
+		"timeout far enough": {"Keep-Alive: timeout=20, max=100\r\n", true, 30 * time.Millisecond, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serveScript(t, func(c net.Conn, r *http.Request, _ int) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+test.header+"Id: "+r.Header.Get("Id")+"\r\nContent-Length: 0\r\n\r\n")
+				return test.keep
+			})
+			r := NewRelay(nil)
+			for range 5 {
+				_, failure := r.Do(t.Context(), s.Server, 2, messageOf("a", time.Second))
+				is.True(failure == nil)
+				time.Sleep(test.wait)
+			}
+			is.Equal(s.connections.Load(), test.connections)
+		})
+	}
+}
+
+// TestRelayLimit guards against more connections to a server than it may have from this instance, and against a request
+// beyond them that says it may have run.
+func TestRelayLimit(t *testing.T) {
+	is := is.New(t)
+	s := serveScript(t, func(c net.Conn, r *http.Request, _ int) bool {
+		time.Sleep(50 * time.Millisecond)
+		_, _ = io.WriteString(c, okAnswer(r.Header.Get("Id"), ""))
+		return true
+	})
+	r := NewRelay(nil)
+	failures := make(chan *verdict.Error, 10)
+	for range 10 {
+		go func() {
+			_, failure := r.Do(t.Context(), s.Server, 3, messageOf("a", time.Second))
+			failures <- failure
+		}()
+	}
+	refused := 0
+	for range 10 {
+		if failure := <-failures; failure != nil {
+			is.Equal(failure.Verdict, verdict.NotRun)
+			is.Equal(failure.Reason, verdict.Overloaded)
+			refused++
+		}
+	}
+	is.Equal(refused, 7)
+	is.Equal(s.connections.Load(), int32(3))
+}
+
+// TestRelayEarlyAnswer guards against a request that follows the rest of a long body that the server had answered before
+// it was read.
+func TestRelayEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	s := serveScript(t, func(c net.Conn, r *http.Request, _ int) bool {
+		_, _ = io.WriteString(c, okAnswer(r.Header.Get("Id"), "early"))
+		time.Sleep(20 * time.Millisecond)
+		return false
+	})
+	r := NewRelay(nil)
+	long := messageOf("a", time.Second)
+	long.Method = http.MethodPost
+	body := strings.Repeat("x", 8<<20)
+	long.Render = func(buffer []byte, _ time.Duration) []byte {
+		return append(buffer, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nId: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body)...)
+	}
+	answer, failure := r.Do(t.Context(), s.Server, 2, long)
+	is.True(failure == nil)
+	is.Equal(string(answer.Body), "early")
+	_, failure = r.Do(t.Context(), s.Server, 2, messageOf("b", time.Second))
+	is.True(failure == nil)
+	is.Equal(s.connections.Load(), int32(2))
+}
+
+// TestRelayCancel guards against a request that goes on at the server after its caller has left, and against connections
+// that fell silent together with it and are used again.
+func TestRelayCancel(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	s := serveScript(t, func(c net.Conn, r *http.Request, number int) bool {
+		if number == 1 {
+			_, _ = io.WriteString(c, okAnswer(r.Header.Get("Id"), ""))
+			return true
+		}
+		_, _ = c.Read(make([]byte, 1)) // ends when the peer closes
+		close(closed)
+		return false
+	})
+	r := NewRelay(nil)
+	_, failure := r.Do(t.Context(), s.Server, 2, messageOf("a", time.Second))
+	is.True(failure == nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, failure = r.Do(ctx, s.Server, 2, messageOf("b", time.Second))
+	is.Equal(failure.Reason, verdict.Cancelled)
+	is.Equal(failure.Verdict, verdict.MayHaveRun)
+	<-closed
+}
+
+// TestRelayUnreachable guards against a refused connection that says the request may have run.
+func TestRelayUnreachable(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	is.NoErr(listener.Close())
+	r := NewRelay(nil)
+	_, failure := r.Do(t.Context(), fleet.Server{ID: "r", Address: address}, 2, messageOf("a", time.Second))
+	is.Equal(failure.Verdict, verdict.NotRun)
+	is.Equal(failure.Reason, verdict.ConnectFailed)
+	is.True(r.Probe(t.Context(), fleet.Server{ID: "r", Address: address}, 2) != nil)
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -137,9 +137,11 @@
 		return d.loseInstance(change.Instance, now)
 	case change.Entry != nil:
 		former, listed := d.replicas[change.Replica]
+		_, lapsed := d.lapsed[change.Replica]
 		d.replicas[change.Replica] = *change.Entry
 		delete(d.lapsed, change.Replica)
-		return !listed || !former.alike(*change.Entry)
+		// Peers that saw the entry lapse must hear that it is back.
+		return !listed || lapsed || !former.alike(*change.Entry)
 	case change.Replica != "":
 		return d.remove(change.Replica, now)
 	}
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,401 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/medlarlatch/medlarlatch/internal/directory"
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/routing"
+)
+
+const pause = time.Second
+
+var errDown = errors.New("down")
+
+// store is a fake of the platform's store with its faults.
+type store struct {
+	mutex    sync.Mutex
+	events   []entry
+	present  map[fleet.ServerID]directory.Change
+	others   []directory.Change
+	revision uint64
+	from     uint64 // history begins after it
+	page     int
+	down     bool
+	withhold bool
+	calls    int
+	lists    int
+}
+
+func newStore() *store {
+	return &store{present: make(map[fleet.ServerID]directory.Change), page: 500}
+}
+
+func (s *store) List(context.Context) ([]directory.Change, uint64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	if s.down {
+		return nil, 0, errDown
+	}
+	s.lists++
+	all := append([]directory.Change(nil), s.others...)
+	for _, change := range s.present {
+		all = append(all, change)
+	}
+	return all, s.revision, nil
+}
+
+func (s *store) Changes(ctx context.Context, after uint64, wait time.Duration) ([]directory.Change, uint64, bool, error) {
+	s.mutex.Lock()
+	s.calls++
+	s.mutex.Unlock()
+	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+		changes, revision, more, err := s.after(after)
+		if err != nil || len(changes) > 0 || !time.Now().Before(end) || ctx.Err() != nil {
+			return changes, revision, more, err
+		}
+	}
+}
+
+func (s *store) after(after uint64) (changes []directory.Change, revision uint64, more bool, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch {
+	case s.down:
+		return nil, 0, false, errDown
+	case after < s.from:
+		return nil, 0, false, ErrHistoryGone
+	case s.withhold:
+		return nil, s.revision, false, nil
+	}
+	revision = s.revision
+	for _, e := range s.events {
+		if e.revision > after {
+			if len(changes) == s.page {
+				return changes, lastOfPage(s.events, after, s.page), true, nil
+			}
+			changes = append(changes, e.change)
+		}
+	}
+	return changes, revision, false, nil
+}
+
+// lastOfPage returns the revision of the last event of a full page after a revision.
+func lastOfPage(events []entry, after uint64, page int) uint64 {
+	for _, e := range events {
+		if e.revision > after {
+			if page--; page == 0 {
+				return e.revision
+			}
+		}
+	}
+	return after
+}
+
+func (s *store) write(change directory.Change) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	s.events = append(s.events, entry{s.revision, change})
+	switch {
+	case change.Replica == "":
+		s.others = append(s.others, change)
+	case change.Entry == nil:
+		delete(s.present, change.Replica)
+	default:
+		s.present[change.Replica] = change
+	}
+}
+
+func (s *store) set(change func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change()
+}
+
+func (s *store) count() (calls, lists int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls, s.lists
+}
+
+func replica(id fleet.ServerID) directory.Change {
+	return directory.Change{Replica: id, Entry: &directory.Replica{ID: id, Service: "s", Zone: "a", Address: "x", Slots: 1}}
+}
+
+func goneReplica(id fleet.ServerID) directory.Change { return directory.Change{Replica: id, Gone: true} }
+
+func configuration(version uint64) directory.Change {
+	return directory.Change{Table: routing.New(version, nil, nil, routing.Limits{}, nil)}
+}
+
+func registered(id fleet.InstanceID, zone fleet.ZoneID) directory.Change {
+	return directory.Change{Instance: id, Registered: &directory.Instance{ID: id, Zone: zone, Peers: string(id)}}
+}
+
+// link is one instance's way to the store.
+type link struct {
+	*store
+	cut atomic.Bool
+}
+
+func (l *link) List(ctx context.Context) ([]directory.Change, uint64, error) {
+	if l.cut.Load() {
+		return nil, 0, errDown
+	}
+	return l.store.List(ctx)
+}
+
+func (l *link) Changes(ctx context.Context, after uint64, wait time.Duration) ([]directory.Change, uint64, bool, error) {
+	if l.cut.Load() {
+		return nil, 0, false, errDown
+	}
+	return l.store.Changes(ctx, after, wait)
+}
+
+// instances is a fake of several instances over one network.
+type instances struct {
+	mutex   sync.Mutex
+	running map[fleet.InstanceID]*Follower
+	views   map[fleet.InstanceID]*directory.View
+	silent  map[fleet.InstanceID]bool
+	links   map[fleet.InstanceID]*link
+}
+
+func (i *instances) News(ctx context.Context, address string, after uint64, wait time.Duration) (News, error) {
+	i.mutex.Lock()
+	peer, silent := i.running[fleet.InstanceID(address)], i.silent[fleet.InstanceID(address)]
+	i.mutex.Unlock()
+	if peer == nil {
+		return News{}, errDown
+	}
+	if silent {
+		<-ctx.Done()
+		return News{}, ctx.Err()
+	}
+	return peer.News(ctx, after, wait), nil
+}
+
+func (i *instances) start(ctx context.Context, self directory.Instance, s *store) {
+	l := &link{store: s}
+	f := New(Options{
+		Self: self, Source: l, Peers: i, Pause: pause, Random: rand.New(rand.NewPCG(1, uint64(len(self.ID)))),
+		Publish: func(v *directory.View) {
+			i.mutex.Lock()
+			defer i.mutex.Unlock()
+			i.views[self.ID] = v
+		},
+	})
+	i.mutex.Lock()
+	i.running[self.ID], i.links[self.ID] = f, l
+	i.mutex.Unlock()
+	go f.Run(ctx)
+}
+
+func (i *instances) view(id fleet.InstanceID) *directory.View {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.views[id]
+}
+
+func (i *instances) replicas(id fleet.InstanceID) int {
+	if v := i.view(id); v != nil {
+		return len(v.Replicas["s"])
+	}
+	return -1
+}
+
+// play runs a test with one instance of each name in zone a, over a store with some replicas that send heartbeats.
+func play(t *testing.T, names []fleet.InstanceID, test func(is *is.I, s *store, i *instances)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer func() {
+			stop()
+			time.Sleep(10 * time.Second)
+		}()
+		s := newStore()
+		i := &instances{
+			running: make(map[fleet.InstanceID]*Follower), views: make(map[fleet.InstanceID]*directory.View),
+			silent: make(map[fleet.InstanceID]bool), links: make(map[fleet.InstanceID]*link),
+		}
+		s.write(configuration(1))
+		for _, id := range []fleet.ServerID{"r1", "r2", "r3", "r4", "r5"} {
+			s.write(replica(id))
+		}
+		for _, name := range names {
+			s.write(registered(name, "a"))
+		}
+		go heartbeats(ctx, s)
+		for _, name := range names {
+			i.start(ctx, directory.Instance{ID: name, Zone: "a", Peers: string(name)}, s)
+		}
+		time.Sleep(100 * time.Millisecond)
+		test(is.New(t), s, i)
+	})
+}
+
+func heartbeats(ctx context.Context, s *store) {
+	for ctx.Err() == nil {
+		time.Sleep(300 * time.Millisecond)
+		s.mutex.Lock()
+		still, ok := s.present["r1"]
+		down := s.down
+		s.mutex.Unlock()
+		if ok && !down {
+			s.write(still)
+		}
+	}
+}
+
+// bound is the shortest time within which a change must be in force where calls are made three times in it.
+const bound = 3 * pause
+
+// TestInForceInTime replays one fault of the store at a time and guards against a change that is not in force on every
+// instance within its bound, or within the bound after the fault.
+func TestInForceInTime(t *testing.T) {
+	for name, fault := range map[string]func(s *store){
+		"none":           func(*store) {},
+		"history gone":   func(s *store) { s.from = s.revision + 1 },
+		"changes unseen": func(s *store) { s.withhold = true },
+		"small pages":    func(s *store) { s.page = 2 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, []fleet.InstanceID{"i1", "i2", "i3"}, func(is *is.I, s *store, i *instances) {
+				time.Sleep(5 * time.Second)
+				for _, id := range []fleet.ServerID{"r6", "r7", "r8", "r9"} {
+					s.write(replica(id))
+				}
+				s.write(goneReplica("r2"))
+				s.write(configuration(2))
+				s.set(func() { fault(s) })
+				time.Sleep(bound)
+				s.set(func() { s.withhold = false })
+				for _, id := range []fleet.InstanceID{"i1", "i2", "i3"} {
+					is.Equal(i.view(id).Table.Version(), uint64(2))
+					is.Equal(i.replicas(id), 8)
+				}
+			})
+		})
+	}
+}
+
+// TestPagesAreFollowed guards against an instance that falls behind for good where more changes come than one answer
+// holds: the store had 500, and 685 replicas wrote more between two calls.
+func TestPagesAreFollowed(t *testing.T) {
+	play(t, []fleet.InstanceID{"i1"}, func(is *is.I, s *store, i *instances) {
+		s.set(func() { s.page = 20 })
+		for range 30 {
+			for range 40 {
+				s.write(replica("r3"))
+			}
+			time.Sleep(pause)
+		}
+		s.write(goneReplica("r2"))
+		time.Sleep(bound)
+		is.Equal(i.replicas("i1"), 4)
+	})
+}
+
+// TestCallsGrowWithZones guards against calls of every instance to the store: only one of a zone makes them.
+func TestCallsGrowWithZones(t *testing.T) {
+	play(t, []fleet.InstanceID{"i1", "i2", "i3", "i4", "i5", "i6"}, func(is *is.I, s *store, _ *instances) {
+		time.Sleep(5 * time.Second)
+		before, _ := s.count()
+		time.Sleep(20 * time.Second)
+		calls, _ := s.count()
+		is.True(calls-before <= 25) // one a pause, and a few where a peer was busy
+	})
+}
+
+// TestReaderFails replays the loss, the freeze and the isolation from the store of the instance that the others ask. It
+// guards against followers that go on with what it knew.
+func TestReaderFails(t *testing.T) {
+	for _, name := range []string{"gone", "silent", "cut from the store"} {
+		t.Run(name, func(t *testing.T) {
+			play(t, []fleet.InstanceID{"i1", "i2", "i3"}, func(is *is.I, s *store, i *instances) {
+				time.Sleep(5 * time.Second)
+				reader, ok := readerOf("a", i.running["i1"].present(), func(fleet.InstanceID) bool { return false })
+				is.True(ok)
+				i.mutex.Lock()
+				switch name {
+				case "gone":
+					delete(i.running, reader.ID)
+				case "silent":
+					i.silent[reader.ID] = true
+				}
+				i.mutex.Unlock()
+				i.links[reader.ID].cut.Store(name == "cut from the store")
+				s.write(configuration(2))
+				time.Sleep(2 * bound)
+				for _, id := range []fleet.InstanceID{"i1", "i2", "i3"} {
+					if id != reader.ID || name == "cut from the store" {
+						is.Equal(i.view(id).Table.Version(), uint64(2))
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestOutage replays an outage of the store in which registrations lapse. It guards against replicas that are dropped
+// although they live, and against one that is kept although it is gone.
+func TestOutage(t *testing.T) {
+	play(t, []fleet.InstanceID{"i1", "i2"}, func(is *is.I, s *store, i *instances) {
+		time.Sleep(5 * time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(6 * time.Second)
+		is.Equal(i.replicas("i1"), 5)
+		for _, id := range []fleet.ServerID{"r1", "r2", "r3", "r4", "r5"} {
+			s.write(goneReplica(id))
+		}
+		s.set(func() { s.down = false })
+		time.Sleep(1500 * time.Millisecond)
+		is.Equal(i.replicas("i1"), 5)
+		for _, id := range []fleet.ServerID{"r1", "r2", "r3", "r4"} {
+			s.write(replica(id))
+		}
+		time.Sleep(bound)
+		for _, id := range []fleet.InstanceID{"i1", "i2"} {
+			is.Equal(i.replicas(id), 4)
+		}
+	})
+}
+
+// TestCallsInAnOutage guards against calls that are paid for while the store refuses them.
+func TestCallsInAnOutage(t *testing.T) {
+	play(t, []fleet.InstanceID{"i1"}, func(is *is.I, s *store, _ *instances) {
+		s.set(func() { s.down = true })
+		before, _ := s.count()
+		time.Sleep(20 * time.Second)
+		calls, _ := s.count()
+		is.True(calls-before <= 20*2+5)
+	})
+}
+
+// TestReaderOf guards against instances of one zone that disagree on who reads, and against one without an address.
+func TestReaderOf(t *testing.T) {
+	is := is.New(t)
+	none := func(fleet.InstanceID) bool { return false }
+	all := []directory.Instance{{ID: "a1", Zone: "a", Peers: "x"}, {ID: "a2", Zone: "a", Peers: "y"}, {ID: "b1", Zone: "b", Peers: "z"}, {ID: "a3", Zone: "a"}}
+	first, ok := readerOf("a", all, none)
+	is.True(ok)
+	is.True(first.ID == "a1" || first.ID == "a2")
+	turned := []directory.Instance{all[3], all[2], all[1], all[0]}
+	again, _ := readerOf("a", turned, none)
+	is.Equal(again, first)
+	second, _ := readerOf("a", all, func(id fleet.InstanceID) bool { return id == first.ID })
+	is.True(second.ID != first.ID && second.Zone == "a")
+	_, ok = readerOf("c", all, none)
+	is.True(!ok)
+}
