--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -135,7 +135,7 @@
 }
 
 func (f *Follower) backoff() time.Duration {
-	longest := min(firstRetry<<min(f.failures-1, 10), longestRetry)
+	longest := min(firstRetry<<min(max(f.failures-1, 0), 10), longestRetry)
 	return longest/2 + time.Duration(f.Random.Int64N(int64(longest/2)))
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -133,7 +133,9 @@
 	return directory.Change{Replica: id, Entry: &directory.Replica{ID: id, Service: "s", Zone: "a", Address: "x", Slots: 1}}
 }
 
-func goneReplica(id fleet.ServerID) directory.Change { return directory.Change{Replica: id, Gone: true} }
+func goneReplica(id fleet.ServerID) directory.Change {
+	return directory.Change{Replica: id, Gone: true}
+}
 
 func configuration(version uint64) directory.Change {
 	return directory.Change{Table: routing.New(version, nil, nil, routing.Limits{}, nil)}
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -358,8 +358,11 @@
 }
 
 func (f *fanout) belowFloor(detail string) *verdict.Error {
-	return verdict.New(f.verdict(), verdict.CoverageBelowFloor, "%s: %d of %d, %d are needed", detail, f.answered, len(f.parts), f.floor).
-		WithRetryAfter(retryAfter)
+	failure := verdict.New(f.verdict(), verdict.CoverageBelowFloor, "%s: %d of %d, %d are needed", detail, f.answered, len(f.parts), f.floor)
+	if failure.Verdict == verdict.NotRun || f.engine.Isolated() {
+		return failure.WithRetryAfter(f.engine.returnAfter(time.Now()))
+	}
+	return failure // another replica or instance may answer at once
 }
 
 // verdict says whether a replica may have run a part.
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -65,7 +65,7 @@
 		}
 		now = time.Now()
 		if !now.Before(s.giveUpAt) {
-			return s.refuse(verdict.New(s.verdict(), verdict.DeadlinePassed, "no answer in time").WithRetryAfter(retryAfter))
+			return s.refuse(verdict.New(s.verdict(), verdict.DeadlinePassed, "no answer in time"))
 		}
 		if result, ended := s.check(now); ended {
 			return result
@@ -159,7 +159,11 @@
 		s.cancel()
 		return Result{Answer: s.last, Trace: s.trace}
 	}
-	return s.refuse(verdict.New(s.verdict(), s.part.reason, "the request could not be served").WithRetryAfter(retryAfter))
+	failure := verdict.New(s.verdict(), s.part.reason, "the request could not be served")
+	if failure.Verdict == verdict.NotRun {
+		failure = failure.WithRetryAfter(retryAfter)
+	}
+	return s.refuse(failure)
 }
 
 // hedgeAt returns when the request is sent to a second replica.
