Bound the fan-outs in progress where the replicas as a whole are too busy

Every request was started, all waited at every shard, and 27% were answered in time; 600 failed at this instance's connection limit without having been tried. Ruled out: too few connections; with more of them the replicas' queues grow instead. Its limit falls while the early answers of most requests take more than 3.2 times the undisturbed time, and rises when they do not. Requests wait for a fifth of their objective and are refused before anything is sent.

--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -58,6 +58,7 @@
 	reach     reach // used by the goroutine of WatchReach only
 	counters  Counters
 	paces     sync.Map // name of a route to *pace
+	gates     sync.Map // first shard of a route to *gate
 
 	// updating guards the states that outlive a plan.
 	updating sync.Mutex
@@ -114,6 +115,28 @@
 	return found.(*pace)
 }
 
+// gateOf returns the gate before the shards of a route. Routes over the same index share it.
+func (e *Engine) gateOf(route *routing.Route) *gate {
+	if found, ok := e.gates.Load(route.Shards[0]); ok {
+		return found.(*gate)
+	}
+	fresh := &gate{name: route.Shards[0]}
+	fresh.setSlots(e.slotsOf(e.plan.Load(), route.Shards[0]))
+	found, _ := e.gates.LoadOrStore(route.Shards[0], fresh)
+	return found.(*gate)
+}
+
+// slotsOf returns this instance's part of the slots of a service.
+func (e *Engine) slotsOf(current *plan, service fleet.ServiceID) float64 {
+	slots := 0
+	if g := current.groups[service]; g != nil {
+		for i := range g.members {
+			slots += g.members[i].Slots
+		}
+	}
+	return float64(slots) / float64(e.Instances())
+}
+
 // Run runs one request on the calling goroutine. The end of ctx means that the caller has left.
 func (e *Engine) Run(ctx context.Context, request *Request) Result {
 	e.counters.Requests.Add(1)
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -29,7 +29,9 @@
 	cancel    context.CancelFunc
 	request   *Request
 	usual     *pace
+	gate      *gate
 	expected  time.Duration
+	began     time.Time
 	composeAt time.Time
 	giveUpAt  time.Time
 	floor     int
@@ -72,6 +74,7 @@
 	f.ctx, f.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	context.AfterFunc(ctx, f.cancel)
 	f.expected = f.usual.usual()
+	f.gate = e.gateOf(route)
 	f.composeAt = f.giveUpAt
 	if objective := request.Arrived.Add(route.Objective - wayBack); route.Objective > 0 && objective.Before(f.giveUpAt) {
 		f.composeAt = objective
@@ -83,9 +86,15 @@
 func (f *fanout) run() Result {
 	now := time.Now()
 	if refusal := f.reachable(now); refusal != nil {
-		f.cancel()
 		return f.refuse(refusal)
 	}
+	work := float64(f.usual.alone.time())
+	if !f.gate.enter(f.ctx, work, time.Duration(waitShare*float64(f.request.Route.Objective))) {
+		return f.refuse(refusedByGate())
+	}
+	defer f.gate.leave(work)
+	now = time.Now()
+	f.began = now
 	for i := range f.parts {
 		f.start(i, now)
 	}
@@ -183,7 +192,9 @@
 	}
 	if a.outcome.Reason == verdict.None {
 		p.answer = &a.outcome
-		f.answered++
+		if f.answered++; f.answered == f.early() {
+			f.gate.observe(now, f.usual.slow(now.Sub(f.began)))
+		}
 		return
 	}
 	p.reason = a.outcome.Reason
@@ -199,6 +210,9 @@
 	f.retry(a.shard, now)
 }
 
+// early is the number of answers that show how busy the replicas are.
+func (f *fanout) early() int { return max(1, int(earlyShare*float64(len(f.parts)))) }
+
 func (p *part) live() bool {
 	for _, a := range p.attempts {
 		if !a.ended {
@@ -378,15 +392,27 @@
 	return verdict.NotRun
 }
 
+// judgeLate tells the gate of a request that ends before its early answers are there.
+func (f *fanout) judgeLate(now time.Time) {
+	if f.answered < f.early() && !f.began.IsZero() && f.usual.slow(now.Sub(f.began)) {
+		f.gate.observe(now, true)
+	}
+}
+
 // refuse ends the request without an answer; nobody waits for its parts any more.
 func (f *fanout) refuse(failure *verdict.Error) Result {
 	f.cancel()
+	f.judgeLate(time.Now())
 	f.missed()
 	return Result{Failure: failure, Trace: f.trace}
 }
 
 func (f *fanout) compose() Result {
-	time.AfterFunc(linger, f.cancel)
+	if f.gate.congested() {
+		f.cancel() // others need the slots
+	} else {
+		time.AfterFunc(linger, f.cancel)
+	}
 	bodies := make([][]byte, 0, f.answered)
 	result := Result{Receipts: make([]string, 0, f.answered), Missing: len(f.parts) - f.answered}
 	for i := range f.parts {
--- a/internal/lookup/pace.go
+++ b/internal/lookup/pace.go
@@ -21,6 +21,8 @@
 // at once does no harm.
 type pace struct {
 	mean atomic.Int64
+	// alone is the time of a send that finds a free slot.
+	alone undisturbed
 }
 
 func newPace(route *routing.Route) *pace {
@@ -30,12 +32,19 @@
 	}
 	p := &pace{}
 	p.mean.Store(max(int64(share*float64(route.Objective)), int64(time.Millisecond)))
+	p.alone.nanoseconds.Store(p.mean.Load())
 	return p
 }
 
 func (p *pace) usual() time.Duration { return time.Duration(p.mean.Load()) }
 
+// slow tells whether something took so long that it waited for a slot.
+func (p *pace) slow(elapsed time.Duration) bool {
+	return float64(elapsed) > slowFactor*float64(p.alone.time())
+}
+
 func (p *pace) observe(elapsed time.Duration) {
+	p.alone.observe(elapsed)
 	mean := p.mean.Load()
 	measured := min(int64(elapsed), paceClip*mean)
 	p.mean.Store(max(mean+(measured-mean)/paceGain, int64(time.Millisecond)))
--- a/internal/lookup/plan.go
+++ b/internal/lookup/plan.go
@@ -56,6 +56,10 @@
 	}
 	e.loads = loads
 	e.plan.Store(next)
+	e.gates.Range(func(shard, known any) bool {
+		known.(*gate).setSlots(e.slotsOf(next, shard.(fleet.ServiceID)))
+		return true
+	})
 }
 
 // known is the state of a replica with the entry that it belongs to.
