--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -36,9 +36,8 @@
 }
 
 const (
-	// longestWait bounds one call for changes. Replicas write more often than that, so that a call without any change
-	// shows a store that withholds them.
-	longestWait = 1500 * time.Millisecond
+	// longestWait bounds one call for changes, and with it the time until a silent connection shows.
+	longestWait = time.Second
 	// replyTimeout bounds the time of an answer beyond the wait; a slow store takes some hundred milliseconds.
 	replyTimeout = 1200 * time.Millisecond
 	// peerTimeout bounds the time of a peer's answer beyond the wait: a few round trips, and a busy processor.
@@ -50,8 +49,6 @@
 	longestRetry = time.Second
 	// shortOutage is the longest failure of the store after which no registration can have lapsed.
 	shortOutage = 500 * time.Millisecond
-	// busyFleet is the number of replicas from which a call without any change is taken for a sign of missed changes.
-	busyFleet = 4
 )
 
 // Options are what a Follower is made of.
@@ -158,9 +155,9 @@
 	now := time.Now()
 	f.heard(now)
 	if len(changes) == 0 {
-		// The position stays: the store may have withheld changes up to the revision that it reports.
-		if f.replicas() >= busyFleet {
-			klog.InfoS("Store reported no change", "revision", revision, "waited", longestWait)
+		// The position stays, so that changes that were withheld are asked for again, or their history is gone.
+		if next > revision {
+			klog.InfoS("Store withheld changes", "revision", revision, "at", next)
 			return false, f.list(ctx)
 		}
 		f.take(nil, false, revision, 0)
@@ -190,12 +187,6 @@
 	return f.journal.revision
 }
 
-func (f *Follower) replicas() int {
-	f.journal.mutex.Lock()
-	defer f.journal.mutex.Unlock()
-	return f.journal.state.Replicas()
-}
-
 // take puts changes into the directory, as the store had them some time ago, and publishes the view if it is another one.
 func (f *Follower) take(changes []directory.Change, whole bool, revision uint64, age time.Duration) {
 	now := time.Now()
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -158,7 +158,7 @@
 
 // Serve answers the peers that connect to the listener until it is closed.
 func (f *Follower) Serve(ctx context.Context, listener net.Listener) error {
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(f.answer))
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(f.answer).SuppressErrClosed())
 	for {
 		raw, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -62,8 +62,9 @@
 	return true
 }
 
-// freshFor is how old a peer's news may be: its pause between two calls, and the time of a call.
-func (f *Follower) freshFor() time.Duration { return f.Pause + replyTimeout }
+// freshFor is how old a peer's news may be: its pause between two calls, and the longest call for changes with some time
+// for its answer.
+func (f *Follower) freshFor() time.Duration { return f.Pause + longestWait + peerTimeout }
 
 func (f *Follower) learn(news News) {
 	f.take(news.Changes, news.Whole, news.Revision, news.Age)
