--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -52,7 +52,7 @@
 // verbs returns the table. It is a function because the verb help reads it.
 func verbs() []verb {
 	return []verb{
-		applyVerb, checkVerb, diffVerb, entryVerb, getVerb, helpVerb, instanceVerb, queryVerb, reportVerb, serveVerb, statusVerb,
+		applyVerb, checkVerb, diffVerb, entryVerb, explainVerb, getVerb, helpVerb, instanceVerb, queryVerb, reportVerb, serveVerb, statusVerb,
 		versionVerb, zoneVerb,
 	}
 }
