--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Verbs of the project; README.md shows demo and test, CONTRIBUTING.md the rest.
 GO ?= go
 
-.PHONY: build test lint format demo bench bench-capacity bench-system fuzz soak generate
+.PHONY: build test lint format demo bench bench-capacity bench-system fuzz soak soak-platform generate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -35,6 +35,11 @@
 		MEDLARLATCH_SEED=$$seed $(GO) test -count=1 $$(grep -rl internal/seed --include=main_test.go internal | xargs -n1 dirname | sed 's#^#./#') || exit 1; \
 	done
 
+# The soak of entry instances on a stand-in of the users' platform, as real processes, for a range of seeds.
+SOAK_SEEDS ?= 100-119
+soak-platform:
+	SOAK_SEEDS=$(SOAK_SEEDS) $(GO) test -count=1 -v -timeout 60m ./platform/soak
+
 # medlarlatch beside the baseline as separate processes, about 3 minutes; writes docs/plots.
 bench-system: build
 	bin/standin measure --plots docs/plots
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -20,18 +20,18 @@
 
 // Replica is one registered replica of a service. Values are immutable.
 type Replica struct {
-	ID      fleet.ServerID
-	Service fleet.ServiceID
-	Zone    fleet.ZoneID
-	Address string
+	ID      fleet.ServerID  `json:"id"`
+	Service fleet.ServiceID `json:"service"`
+	Zone    fleet.ZoneID    `json:"zone"`
+	Address string          `json:"address"`
 	// Slots is the number of requests that the replica processes at a time.
-	Slots int
+	Slots int `json:"slots"`
 	// Draining replicas get no new request.
-	Draining bool
+	Draining bool `json:"draining"`
 	// ColdUntil is when the replica is warm, by its last word.
-	ColdUntil time.Time
+	ColdUntil time.Time `json:"cold-until"`
 	// Born distinguishes the starts of a replica that keeps its id; Unix milliseconds.
-	Born int64
+	Born int64 `json:"born"`
 }
 
 // SameProcess tells whether two entries speak of the same start of the same replica.
@@ -41,10 +41,10 @@
 
 // Instance is another entry instance, or this one.
 type Instance struct {
-	ID   fleet.InstanceID
-	Zone fleet.ZoneID
+	ID   fleet.InstanceID `json:"id"`
+	Zone fleet.ZoneID     `json:"zone"`
 	// Peers is the address, IP:port, on which it answers other instances; empty if it does not.
-	Peers string
+	Peers string `json:"peers"`
 }
 
 // Change is one change that the store reported. Exactly one of Table, Replica, Zone and Instance is set, or none where
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -18,56 +18,56 @@
 
 // Route is one rule of the table.
 type Route struct {
-	Name string
+	Name string `json:"name"`
 	// Host is compared without a port and without regard to case.
-	Host string
+	Host string `json:"host"`
 	// Prefix begins and ends with a slash.
-	Prefix string
+	Prefix string `json:"prefix"`
 	// Idempotent requests may run more than once.
-	Idempotent bool
+	Idempotent bool `json:"idempotent"`
 	// Timeout is the longest time that a caller is kept waiting.
-	Timeout time.Duration
+	Timeout time.Duration `json:"timeout"`
 	// Objective is the time within which an answer is worth most to the caller.
-	Objective time.Duration
+	Objective time.Duration `json:"objective"`
 	// Priority ranks the route; 0 is the most urgent.
-	Priority int
+	Priority int `json:"priority"`
 	// Attempts is the largest number of replicas that may get one request, for each shard.
-	Attempts int
+	Attempts int `json:"attempts"`
 	// Shares are the services that share the requests of a route without shards.
-	Shares []Share
+	Shares []Share `json:"shares"`
 	// Shards are the services that each hold a part of the index; empty for a route to one replica.
-	Shards []fleet.ServiceID
+	Shards []fleet.ServiceID `json:"shards"`
 	// Keep is the number of records that the merged answer keeps.
-	Keep int
+	Keep int `json:"keep"`
 	// Floor is the least share of the shards that makes an answer, 0 to 1.
-	Floor float64
+	Floor float64 `json:"floor"`
 
 	spread spread
 }
 
 // Share is one service of a route with its weight.
 type Share struct {
-	Service fleet.ServiceID
-	Weight  int
+	Service fleet.ServiceID `json:"service"`
+	Weight  int             `json:"weight"`
 }
 
 // Service is what operators say of one service.
 type Service struct {
-	ID fleet.ServiceID
+	ID fleet.ServiceID `json:"id"`
 	// Connections is the largest number of connections that one replica accepts from all callers together.
-	Connections int
+	Connections int `json:"connections"`
 	// WarmUp is how long a replica stays cold after its start.
-	WarmUp time.Duration
+	WarmUp time.Duration `json:"warm-up"`
 	// ColdRate is the number of requests a second that a cold replica bears; 0 stands for no limit.
-	ColdRate float64
+	ColdRate float64 `json:"cold-rate"`
 }
 
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes   int           `json:"header-bytes"`
+	BodyBytes     int64         `json:"body-bytes"`
+	HeaderTimeout time.Duration `json:"header-timeout"`
+	IdleTimeout   time.Duration `json:"idle-timeout"`
 }
 
 // Table is one version of the configuration.
