--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -18,6 +18,9 @@
 	checkInterval = 8 * time.Millisecond
 	// rejectedPause is the pause before a replica that rejected a part is asked again.
 	rejectedPause = 15 * time.Millisecond
+	// downRetryAfter is when a caller comes back whose request cannot reach its floor: replicas that are down come back, or
+	// are replaced, after seconds.
+	downRetryAfter = time.Second
 	// extraSends is how many sends beyond the route's attempts a part may take when some were not run.
 	extraSends = 2
 )
@@ -131,7 +134,7 @@
 		return nil
 	}
 	return verdict.New(verdict.NotRun, verdict.NoReplica, "%d of %d shards have a replica that answers, %d are needed",
-		likely, len(f.parts), f.floor).WithRetryAfter(f.engine.returnAfter(now))
+		likely, len(f.parts), f.floor).WithRetryAfter(max(downRetryAfter, f.engine.returnAfter(now)))
 }
 
 // floorOf returns the least number of shards that makes an answer. The small amount keeps 0.95 of 20, which is
