--- /dev/null
+++ b/internal/lookup/compose.go
@@ -0,0 +1,114 @@
+package lookup
+
+import (
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+// ended tells whether the request has its answer or can get none any more. Until the objective it waits for every part;
+// after it, the first moment with enough parts is best, because lateness costs more than a missing part. Whether the floor
+// is still in reach is judged on ticks only, because it looks at every replica of the shards.
+func (f *fanout) ended(now time.Time, ticked bool) (Result, bool) {
+	switch {
+	case f.answered+f.failed == len(f.parts) && f.answered >= f.floor,
+		!now.Before(f.composeAt) && f.answered >= f.floor:
+		return f.compose(), true
+	case len(f.parts)-f.failed < f.floor:
+		return f.refuse(f.belowFloor("too many shards have failed")), true
+	case !now.Before(f.giveUpAt):
+		return f.refuse(f.belowFloor("too few shards have answered in time")), true
+	case ticked && f.answered+f.hopeful(now) < f.floor:
+		return f.refuse(f.belowFloor("too few shards have a replica that answers")), true
+	}
+	return Result{}, false
+}
+
+// hopeful returns the number of parts without an answer that may still get one: they wait at a replica that is not
+// silent, or another replica of their shard is not.
+func (f *fanout) hopeful(now time.Time) int {
+	current := f.engine.plan.Load()
+	hopeful := 0
+	for i := range f.parts {
+		p := &f.parts[i]
+		if p.answer != nil || p.failed {
+			continue
+		}
+		if p.sound(now) || f.engine.answers(current.groups[p.service], now) {
+			hopeful++
+		}
+	}
+	return hopeful
+}
+
+func (f *fanout) belowFloor(detail string) *verdict.Error {
+	failure := verdict.New(f.verdict(), verdict.CoverageBelowFloor, "%s: %d of %d, %d are needed", detail, f.answered, len(f.parts), f.floor)
+	if failure.Verdict == verdict.NotRun || f.engine.Isolated() {
+		return failure.WithRetryAfter(f.engine.returnAfter(time.Now()))
+	}
+	return failure // another replica or instance may answer at once
+}
+
+// verdict says whether a replica may have run a part.
+func (f *fanout) verdict() verdict.Verdict {
+	if f.ran {
+		return verdict.MayHaveRun
+	}
+	for i := range f.parts {
+		if f.parts[i].mayRun > 0 {
+			return verdict.MayHaveRun
+		}
+	}
+	return verdict.NotRun
+}
+
+// judgeLate tells the gate of a request that ends before its early answers are there.
+func (f *fanout) judgeLate(now time.Time) {
+	if f.answered < f.early() && !f.began.IsZero() && f.usual.slow(now.Sub(f.began)) {
+		f.gate.observe(now, true)
+	}
+}
+
+// refuse ends the request without an answer; nobody waits for its parts any more.
+func (f *fanout) refuse(failure *verdict.Error) Result {
+	f.cancel()
+	f.judgeLate(time.Now())
+	f.missed()
+	return Result{Failure: failure, Trace: f.trace}
+}
+
+func (f *fanout) compose() Result {
+	if f.gate.congested() {
+		f.cancel() // others need the slots
+	} else {
+		time.AfterFunc(linger, f.cancel)
+	}
+	bodies := make([][]byte, 0, f.answered)
+	result := Result{Receipts: make([]string, 0, f.answered), Missing: len(f.parts) - f.answered}
+	for i := range f.parts {
+		if answer := f.parts[i].answer; answer != nil {
+			bodies = append(bodies, answer.Body)
+			result.Receipts = append(result.Receipts, answer.Receipt)
+		}
+	}
+	result.Records = merge(bodies, f.request.Route.Keep)
+	f.missed()
+	result.Trace = f.trace
+	return result
+}
+
+func (f *fanout) missed() {
+	f.trace.Answered = f.answered
+	for i := range f.parts {
+		if p := &f.parts[i]; p.answer == nil {
+			if f.trace.Missed == nil {
+				f.trace.Missed = make(map[verdict.Reason]int)
+			}
+			reason := p.reason
+			if reason == verdict.None {
+				reason = verdict.DeadlinePassed
+			}
+			f.trace.Missed[reason]++
+		}
+	}
+}
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -5,7 +5,6 @@
 	"math"
 	"time"
 
-	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/internal/routing"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
@@ -46,23 +45,6 @@
 	trace     Trace
 }
 
-// part is the state of one shard of a request.
-type part struct {
-	service  fleet.ServiceID
-	attempts []*attempt
-	tried    []*load
-	mayRun   int  // sends that the replica may have run
-	arrived  bool // a send may have reached a replica, so that another one is extra
-	answer   *Outcome
-	failed   bool
-	retryAt  time.Time
-	reason   verdict.Reason
-	starved  bool
-	// Most parts take one or two sends; room for them here spares allocations.
-	attemptRoom [2]*attempt
-	triedRoom   [2]*load
-}
-
 func newFanout(ctx context.Context, e *Engine, request *Request) *fanout {
 	route := request.Route
 	f := &fanout{
@@ -103,16 +85,19 @@
 	}
 	timer := time.NewTimer(checkInterval)
 	defer timer.Stop()
+	ticked := true
 	for {
-		if result, ended := f.ended(time.Now()); ended {
+		if result, ended := f.ended(time.Now(), ticked); ended {
 			return result
 		}
+		ticked = false
 		timer.Reset(f.untilNextCheck(time.Now()))
 		select {
 		case a := <-f.arrivals:
 			f.handle(&a, time.Now())
 			f.drain()
 		case <-timer.C:
+			ticked = true
 		case <-f.ctx.Done():
 			return f.refuse(verdict.New(f.verdict(), verdict.Cancelled, "the caller has left"))
 		}
@@ -216,15 +201,6 @@
 // early is the number of answers that show how busy the replicas are.
 func (f *fanout) early() int { return max(1, int(earlyShare*float64(len(f.parts)))) }
 
-func (p *part) live() bool {
-	for _, a := range p.attempts {
-		if !a.ended {
-			return true
-		}
-	}
-	return false
-}
-
 // retry sends a part again after a failure, at once to another replica or a little later to one that rejected it.
 func (f *fanout) retry(i int, now time.Time) {
 	p := &f.parts[i]
@@ -328,120 +304,3 @@
 	}
 	return wait
 }
-
-// ended tells whether the request has its answer or can get none any more. Until the objective it waits for every part;
-// after it, the first moment with enough parts is best, because lateness costs more than a missing part.
-func (f *fanout) ended(now time.Time) (Result, bool) {
-	switch {
-	case f.answered+f.failed == len(f.parts) && f.answered >= f.floor,
-		!now.Before(f.composeAt) && f.answered >= f.floor:
-		return f.compose(), true
-	case len(f.parts)-f.failed < f.floor:
-		return f.refuse(f.belowFloor("too many shards have failed")), true
-	case !now.Before(f.giveUpAt):
-		return f.refuse(f.belowFloor("too few shards have answered in time")), true
-	case f.answered+f.hopeful(now) < f.floor:
-		return f.refuse(f.belowFloor("too few shards have a replica that answers")), true
-	}
-	return Result{}, false
-}
-
-// hopeful returns the number of parts without an answer that may still get one: they wait at a replica that is not
-// silent, or another replica of their shard is not.
-func (f *fanout) hopeful(now time.Time) int {
-	current := f.engine.plan.Load()
-	hopeful := 0
-	for i := range f.parts {
-		p := &f.parts[i]
-		if p.answer != nil || p.failed {
-			continue
-		}
-		if p.sound(now) || f.engine.answers(current.groups[p.service], now) {
-			hopeful++
-		}
-	}
-	return hopeful
-}
-
-// sound tells whether the part waits at a replica that is not silent, or has not waited for long: its send may be the one
-// that shows that the replica answers again.
-func (p *part) sound(now time.Time) bool {
-	for _, a := range p.attempts {
-		if !a.ended && (now.Sub(a.sent) < stallAfter(a.expected) || !a.to.load.silentNow(now)) {
-			return true
-		}
-	}
-	return false
-}
-
-func (f *fanout) belowFloor(detail string) *verdict.Error {
-	failure := verdict.New(f.verdict(), verdict.CoverageBelowFloor, "%s: %d of %d, %d are needed", detail, f.answered, len(f.parts), f.floor)
-	if failure.Verdict == verdict.NotRun || f.engine.Isolated() {
-		return failure.WithRetryAfter(f.engine.returnAfter(time.Now()))
-	}
-	return failure // another replica or instance may answer at once
-}
-
-// verdict says whether a replica may have run a part.
-func (f *fanout) verdict() verdict.Verdict {
-	if f.ran {
-		return verdict.MayHaveRun
-	}
-	for i := range f.parts {
-		if f.parts[i].mayRun > 0 {
-			return verdict.MayHaveRun
-		}
-	}
-	return verdict.NotRun
-}
-
-// judgeLate tells the gate of a request that ends before its early answers are there.
-func (f *fanout) judgeLate(now time.Time) {
-	if f.answered < f.early() && !f.began.IsZero() && f.usual.slow(now.Sub(f.began)) {
-		f.gate.observe(now, true)
-	}
-}
-
-// refuse ends the request without an answer; nobody waits for its parts any more.
-func (f *fanout) refuse(failure *verdict.Error) Result {
-	f.cancel()
-	f.judgeLate(time.Now())
-	f.missed()
-	return Result{Failure: failure, Trace: f.trace}
-}
-
-func (f *fanout) compose() Result {
-	if f.gate.congested() {
-		f.cancel() // others need the slots
-	} else {
-		time.AfterFunc(linger, f.cancel)
-	}
-	bodies := make([][]byte, 0, f.answered)
-	result := Result{Receipts: make([]string, 0, f.answered), Missing: len(f.parts) - f.answered}
-	for i := range f.parts {
-		if answer := f.parts[i].answer; answer != nil {
-			bodies = append(bodies, answer.Body)
-			result.Receipts = append(result.Receipts, answer.Receipt)
-		}
-	}
-	result.Records = merge(bodies, f.request.Route.Keep)
-	f.missed()
-	result.Trace = f.trace
-	return result
-}
-
-func (f *fanout) missed() {
-	f.trace.Answered = f.answered
-	for i := range f.parts {
-		if p := &f.parts[i]; p.answer == nil {
-			if f.trace.Missed == nil {
-				f.trace.Missed = make(map[verdict.Reason]int)
-			}
-			reason := p.reason
-			if reason == verdict.None {
-				reason = verdict.DeadlinePassed
-			}
-			f.trace.Missed[reason]++
-		}
-	}
-}
--- a/internal/lookup/plan.go
+++ b/internal/lookup/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/medlarlatch/medlarlatch/internal/directory"
@@ -56,12 +57,47 @@
 	}
 	e.loads = loads
 	e.plan.Store(next)
+	e.dropUnused(next)
 	e.gates.Range(func(shard, known any) bool {
 		known.(*gate).setSlots(e.slotsOf(next, shard.(fleet.ServiceID)))
 		return true
 	})
 }
 
+// dropUnused forgets what belongs to routes and services that the configuration no longer has. Their names are new in
+// many versions, so that these states would grow for ever.
+func (e *Engine) dropUnused(next *plan) {
+	routes, firsts, services := make(map[any]bool), make(map[any]bool), make(map[fleet.ServiceID]bool)
+	for _, route := range next.table.Routes() {
+		routes[route.Name] = true
+		if len(route.Shards) > 0 {
+			firsts[route.Shards[0]] = true
+		}
+	}
+	for _, service := range next.table.Services() {
+		services[service.ID] = true
+	}
+	for id := range next.groups {
+		services[id] = true
+	}
+	for _, states := range []struct {
+		all  *sync.Map
+		used map[any]bool
+	}{{&e.paces, routes}, {&e.gates, firsts}} {
+		states.all.Range(func(key, _ any) bool {
+			if !states.used[key] {
+				states.all.Delete(key)
+			}
+			return true
+		})
+	}
+	for id := range e.budgets {
+		if !services[id] {
+			delete(e.budgets, id)
+		}
+	}
+}
+
 // known is the state of a replica with the entry that it belongs to.
 type known struct {
 	replica directory.Replica
