Give a process no part of the constant allowance in the first window after its start

Cause: all four instances restarted at 27.4 s, in a window in which their former processes had used their parts of the constant; the log shows 225 extra sends by 27.5 s and 20 more in the next half second. Ruled out: a wrong number of instances (4 in every view), refunds, the ratio. Test: TestExtraSendsAfterRestarts fails without the change.

--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -49,6 +49,7 @@
 	sender    Sender
 	extra     atomic.Pointer[Allowance]
 	forgotten func(fleet.ServerID)
+	started   time.Time
 	plan      atomic.Pointer[plan]
 	instances atomic.Int64
 	draw      atomic.Uint64
@@ -72,6 +73,7 @@
 		zone:      options.Zone,
 		sender:    options.Sender,
 		forgotten: options.Forget,
+		started:   time.Now(),
 		loads:     make(map[fleet.ServerID]known),
 		budgets:   make(map[fleet.ServiceID]*budget),
 		reach:     reach{doubtful: make(map[fleet.ZoneID]time.Time)},
@@ -95,8 +97,15 @@
 // SetExtra replaces the bound on extra sends.
 func (e *Engine) SetExtra(allowed Allowance) { e.extra.Store(&allowed) }
 
-// share returns this instance's part of the bound on extra sends.
-func (e *Engine) share() Allowance { return e.extra.Load().share(e.Instances()) }
+// share returns this instance's part of the bound on extra sends. In the first window after its start it has no part of the
+// constant, because the process before it may have used that up just before it ended.
+func (e *Engine) share(now time.Time) Allowance {
+	allowed := *e.extra.Load()
+	if now.Sub(e.started) < allowed.Window {
+		allowed.Extra = 0
+	}
+	return allowed.share(e.Instances())
+}
 
 // Running returns the number of requests in progress.
 func (e *Engine) Running() int64 { return e.running.Load() }
--- a/internal/lookup/fake_test.go
+++ b/internal/lookup/fake_test.go
@@ -125,6 +125,7 @@
 		Zone: "a", Sender: b, Extra: allowed, Random: rand.New(rand.NewPCG(1, 2)),
 	})
 	s.engine.SetInstances(4)
+	s.engine.started = time.Now().Add(-allowed.Window) // it has been running for a while
 	s.fan = &routing.Route{Name: "fan", Idempotent: true, Timeout: timeout, Objective: objective, Attempts: 2, Keep: 5, Floor: 0.8}
 	s.one = &routing.Route{
 		Name: "one", Idempotent: true, Timeout: timeout, Objective: objective, Attempts: 2,
--- a/internal/lookup/fanout_test.go
+++ b/internal/lookup/fanout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -344,3 +345,24 @@
 		}
 	})
 }
+
+// TestExtraSendsAfterRestarts replays processes that use their allowance up, end and start again. It guards against a new
+// constant with each start: in one window the sum went beyond the bound (guaman-latch scale-1, four restarts).
+func TestExtraSendsAfterRestarts(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStage(t, func(fleet.ServerID, time.Time) behaviour { return rejecting() })
+		s.fan.Floor = 0.1
+		requests := 0
+		for start := range 4 {
+			if start > 0 {
+				s.engine = New(Options{Zone: "a", Sender: s.backends, Extra: allowed, Random: rand.New(rand.NewPCG(1, 2))})
+				s.engine.SetInstances(4)
+				s.update(nil)
+			}
+			requests += len(s.load(s.fan, 20*time.Millisecond, 2*time.Second))
+		}
+		arrivals := s.count("s0-a") + s.count("s0-b")
+		is.True(float64(arrivals) <= float64(requests)*(1+allowed.Ratio)+allowed.Extra/4)
+	})
+}
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -49,7 +49,7 @@
 	if chosen == nil {
 		return s.refuse(verdict.New(verdict.NotRun, verdict.NoReplica, "service %s has no replica", s.part.service).WithRetryAfter(retryAfter))
 	}
-	g.extra.request(now, s.engine.share())
+	g.extra.request(now, s.engine.share(now))
 	s.send(chosen, g, false, nil, now)
 	timer := time.NewTimer(s.untilNext(now))
 	defer timer.Stop()
@@ -142,7 +142,7 @@
 	switch {
 	case !s.part.arrived:
 		paid = nil // nothing has reached a replica yet, so that the send is not extra
-	case !g.extra.take(now, s.engine.share()):
+	case !g.extra.take(now, s.engine.share(now)):
 		s.trace.Starved++
 		s.engine.counters.Starved.Add(1)
 		return s.fail(), true
@@ -195,7 +195,7 @@
 	last := s.part.attempts[len(s.part.attempts)-1]
 	last.hedge = true // one try; without room for it the request waits for its first send
 	chosen, g := s.engine.choose(s.part.service, s.part.tried, true, s.expected, now)
-	if chosen == nil || !g.extra.take(now, s.engine.share()) {
+	if chosen == nil || !g.extra.take(now, s.engine.share(now)) {
 		return Result{}, false
 	}
 	s.trace.Hedges++
