--- a/internal/lookup/compose.go
+++ b/internal/lookup/compose.go
@@ -81,6 +81,7 @@
 	if f.gate.congested() {
 		f.cancel() // others need the slots
 	} else {
+		f.callerStays()
 		time.AfterFunc(linger, f.cancel)
 	}
 	bodies := make([][]byte, 0, f.answered)
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -26,23 +26,26 @@
 
 // fanout is the state of one request to all shards. Only the goroutine that called Engine.Run uses it.
 type fanout struct {
-	engine    *Engine
-	ctx       context.Context
-	cancel    context.CancelFunc
-	request   *Request
-	usual     *pace
-	gate      *gate
-	expected  time.Duration
-	began     time.Time
-	composeAt time.Time
-	giveUpAt  time.Time
-	floor     int
-	parts     []part
-	arrivals  chan arrival
-	answered  int
-	failed    int
-	ran       bool
-	trace     Trace
+	engine *Engine
+	ctx    context.Context
+	cancel context.CancelFunc
+	// callerStays keeps the end of the caller's context, which also comes once it has its answer, from ending the sends
+	// that linger.
+	callerStays func() bool
+	request     *Request
+	usual       *pace
+	gate        *gate
+	expected    time.Duration
+	began       time.Time
+	composeAt   time.Time
+	giveUpAt    time.Time
+	floor       int
+	parts       []part
+	arrivals    chan arrival
+	answered    int
+	failed      int
+	ran         bool
+	trace       Trace
 }
 
 func newFanout(ctx context.Context, e *Engine, request *Request) *fanout {
@@ -57,7 +60,7 @@
 		arrivals: make(chan arrival, len(route.Shards)*(max(route.Attempts, 1)+extraSends)),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	context.AfterFunc(ctx, f.cancel)
+	f.callerStays = context.AfterFunc(ctx, f.cancel)
 	f.expected = f.usual.usual()
 	f.gate = e.gateOf(route)
 	f.composeAt = f.giveUpAt
--- a/internal/lookup/fanout_test.go
+++ b/internal/lookup/fanout_test.go
@@ -366,3 +366,28 @@
 		is.True(float64(arrivals) <= float64(requests)*(1+allowed.Ratio)+allowed.Extra/4)
 	})
 }
+
+// TestLinger guards against sends that end with their request's context once the caller has its answer: their answers show
+// when a pause ends, and keep the connections. They end soon after in any case.
+func TestLinger(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStage(t, func(id fleet.ServerID, _ time.Time) behaviour {
+			how := good(work)
+			how.hangs = id == "s3-a"
+			return how
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		is.True(s.runWith(ctx, s.fan).Failure == nil)
+		cancel()
+		ended := func() int {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			return s.backends.ended
+		}
+		time.Sleep(linger - time.Millisecond)
+		is.Equal(ended(), 0)
+		time.Sleep(2 * time.Millisecond)
+		is.Equal(ended(), 1)
+	})
+}
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -12,15 +12,17 @@
 
 // single is the state of one request to one replica. Only the goroutine that called Engine.Run uses it.
 type single struct {
-	engine   *Engine
-	ctx      context.Context
-	cancel   context.CancelFunc
-	request  *Request
-	usual    *pace
-	part     part
-	arrivals chan arrival
-	giveUpAt time.Time
-	expected time.Duration
+	engine *Engine
+	ctx    context.Context
+	cancel context.CancelFunc
+	// callerStays keeps the end of the caller's context from ending the sends that linger.
+	callerStays func() bool
+	request     *Request
+	usual       *pace
+	part        part
+	arrivals    chan arrival
+	giveUpAt    time.Time
+	expected    time.Duration
 	// last is the replica's own failure that is passed on if nothing better comes.
 	last  *Outcome
 	ran   bool
@@ -36,7 +38,7 @@
 		arrivals: make(chan arrival, max(request.Route.Attempts, 1)+extraSends),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	context.AfterFunc(ctx, s.cancel)
+	s.callerStays = context.AfterFunc(ctx, s.cancel)
 	s.expected = s.usual.usual()
 	s.part.service = request.Route.Choose()
 	s.trace.Shards = 1
@@ -102,6 +104,7 @@
 		s.ran = true
 	}
 	if a.outcome.Reason == verdict.None {
+		s.callerStays()
 		time.AfterFunc(linger, s.cancel)
 		s.trace.Answered = 1
 		return Result{Answer: &a.outcome, Trace: s.trace}, true
