--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -32,6 +32,8 @@
 	ColdUntil time.Time `json:"cold-until"`
 	// Born distinguishes the starts of a replica that keeps its id; Unix milliseconds.
 	Born int64 `json:"born"`
+	// Sequence rises with each heartbeat of one start.
+	Sequence int64 `json:"sequence"`
 }
 
 // SameProcess tells whether two entries speak of the same start of the same replica.
@@ -60,6 +62,8 @@
 	Instance   fleet.InstanceID
 	Registered *Instance
 	Gone       bool
+	// Lapses is when a replica that is gone is dropped, where its entry may have lapsed in an outage; zero for at once.
+	Lapses time.Time
 }
 
 // View is what requests see. It is immutable.
@@ -75,8 +79,11 @@
 type Directory struct {
 	table    *routing.Table
 	replicas map[fleet.ServerID]Replica
-	lapsed   map[fleet.ServerID]struct{}
-	zonesOut map[fleet.ZoneID]struct{}
+	// lapsed are the replicas whose entry may have lapsed only because the store was away, until they are dropped.
+	lapsed map[fleet.ServerID]time.Time
+	// heartbeats are the last ones known, also of replicas that were removed a short time ago.
+	heartbeats map[fleet.ServerID]heartbeat
+	zonesOut   map[fleet.ZoneID]struct{}
 	// instances and instancesGone are the registered instances, and when those whose entry is gone lost it.
 	instances     map[fleet.InstanceID]Instance
 	instancesGone map[fleet.InstanceID]time.Time
@@ -88,9 +95,10 @@
 func New() *Directory {
 	return &Directory{
 		replicas: make(map[fleet.ServerID]Replica),
-		lapsed:   make(map[fleet.ServerID]struct{}),
+		lapsed:   make(map[fleet.ServerID]time.Time),
 		zonesOut: make(map[fleet.ZoneID]struct{}),
 
+		heartbeats:    make(map[fleet.ServerID]heartbeat),
 		instances:     make(map[fleet.InstanceID]Instance),
 		instancesGone: make(map[fleet.InstanceID]time.Time),
 	}
@@ -135,6 +143,8 @@
 		return !listed || gone || former != *change.Registered
 	case change.Instance != "":
 		return d.loseInstance(change.Instance, now)
+	case change.Entry != nil && d.outdated(change.Entry, now):
+		return false
 	case change.Entry != nil:
 		former, listed := d.replicas[change.Replica]
 		_, lapsed := d.lapsed[change.Replica]
@@ -143,8 +153,32 @@
 		// Peers that saw the entry lapse must hear that it is back.
 		return !listed || lapsed || !former.alike(*change.Entry)
 	case change.Replica != "":
-		return d.remove(change.Replica, now)
+		return d.remove(change, now)
+	}
+	return false
+}
+
+// heartbeat is the last one known of a replica.
+type heartbeat struct {
+	born, sequence int64
+	at             time.Time
+}
+
+// heartbeatMemory is how long the last heartbeat of a replica that is gone is known. The store may execute a write some
+// seconds late.
+const heartbeatMemory = 30 * time.Second
+
+// outdated tells whether an entry is from before what is known of the replica, and remembers it otherwise. Such an entry
+// was written late and would bring back a replica that leaves or is gone.
+func (d *Directory) outdated(entry *Replica, now time.Time) bool {
+	last, known := d.heartbeats[entry.ID]
+	_, listed := d.replicas[entry.ID]
+	switch {
+	case !known || entry.Born > last.born:
+	case entry.Born < last.born, entry.Sequence < last.sequence, entry.Sequence == last.sequence && !listed:
+		return true
 	}
+	d.heartbeats[entry.ID] = heartbeat{entry.Born, entry.Sequence, now}
 	return false
 }
 
@@ -177,20 +211,25 @@
 // alike tells whether requests are treated the same by both entries.
 func (r Replica) alike(other Replica) bool {
 	apart := r.ColdUntil.Sub(other.ColdUntil).Abs()
-	r.ColdUntil = other.ColdUntil
+	r.ColdUntil, r.Sequence = other.ColdUntil, other.Sequence
 	return r == other && apart < coldTolerance
 }
 
-// remove drops a replica, or keeps it for a while where its entry may have lapsed only because the store was away.
-func (d *Directory) remove(id fleet.ServerID, now time.Time) bool {
-	if _, known := d.replicas[id]; !known {
+// remove drops a replica, or keeps it for a while where its entry may have lapsed only because the store was away. The
+// change then says for how long, so that peers do the same.
+func (d *Directory) remove(change *Change, now time.Time) bool {
+	if _, known := d.replicas[change.Replica]; !known {
 		return false
 	}
-	if now.Before(d.restored.Add(lapseGrace)) {
-		d.lapsed[id] = struct{}{}
-		return false
+	if until := d.restored.Add(lapseGrace); change.Lapses.IsZero() && now.Before(until) {
+		change.Lapses = until
 	}
-	delete(d.replicas, id)
+	if now.Before(change.Lapses) {
+		d.lapsed[change.Replica] = change.Lapses
+		return true
+	}
+	delete(d.replicas, change.Replica)
+	delete(d.lapsed, change.Replica)
 	return true
 }
 
@@ -265,11 +304,33 @@
 const instanceMemory = 15 * time.Second
 
 // Expire drops the entries that were not renewed in time after an outage, and the instances that are gone for long. It
-// returns the replicas that it dropped as changes, and whether the view is another one.
-func (d *Directory) Expire(now time.Time) ([]Change, bool) {
-	dropped := d.expireReplicas(now)
-	instances := d.expireInstances(now)
-	return dropped, instances || len(dropped) > 0
+// tells whether the view is another one.
+func (d *Directory) Expire(now time.Time) bool {
+	for id, last := range d.heartbeats {
+		if _, listed := d.replicas[id]; !listed && now.Sub(last.at) >= heartbeatMemory {
+			delete(d.heartbeats, id)
+		}
+	}
+	dropped := d.expireInstances(now)
+	for id, until := range d.lapsed {
+		if !now.Before(until) {
+			delete(d.replicas, id)
+			delete(d.lapsed, id)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// NextExpiry returns when a lapsed entry is dropped next; false without one.
+func (d *Directory) NextExpiry() (time.Time, bool) {
+	var next time.Time
+	for _, until := range d.lapsed {
+		if next.IsZero() || until.Before(next) {
+			next = until
+		}
+	}
+	return next, !next.IsZero()
 }
 
 func (d *Directory) expireInstances(now time.Time) bool {
@@ -284,19 +345,6 @@
 	return dropped
 }
 
-func (d *Directory) expireReplicas(now time.Time) []Change {
-	if len(d.lapsed) == 0 || now.Before(d.restored.Add(lapseGrace)) {
-		return nil
-	}
-	var dropped []Change
-	for _, id := range slices.Sorted(maps.Keys(d.lapsed)) {
-		delete(d.replicas, id)
-		dropped = append(dropped, Change{Replica: id, Gone: true})
-	}
-	clear(d.lapsed)
-	return dropped
-}
-
 // View returns what requests may use now: no draining replica and none in a zone that is out.
 func (d *Directory) View() *View {
 	v := &View{Table: d.table, Replicas: make(map[fleet.ServiceID][]Replica)}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -35,6 +35,8 @@
 func TestUsable(t *testing.T) {
 	draining := entryOf("a")
 	draining.Draining = true
+	later := entryOf("a")
+	later.Sequence++
 	for name, test := range map[string]struct {
 		changes []Change
 		usable  []fleet.ServerID
@@ -43,7 +45,7 @@
 		"draining":        {[]Change{listed("a"), listed("b"), {Replica: "a", Entry: draining}}, []fleet.ServerID{"b"}},
 		"gone":            {[]Change{listed("a"), listed("b"), gone("a")}, []fleet.ServerID{"b"}},
 		"unusable":        {[]Change{listed("a"), listed("b"), {Replica: "a"}}, []fleet.ServerID{"b"}},
-		"back after gone": {[]Change{listed("a"), gone("a"), listed("a")}, []fleet.ServerID{"a"}},
+		"back after gone": {[]Change{listed("a"), gone("a"), {Replica: "a", Entry: later}}, []fleet.ServerID{"a"}},
 		"zone out":        {[]Change{listed("a"), {Zone: "z"}}, []fleet.ServerID{}},
 		"zone back":       {[]Change{listed("a"), {Zone: "z"}, {Zone: "z", Gone: true}}, []fleet.ServerID{"a"}},
 		"another zone":    {[]Change{listed("a"), {Zone: "y"}}, []fleet.ServerID{"a"}},
@@ -74,13 +76,14 @@
 	d.Restored(now)
 	d.Replace(nil, now)
 	is.Equal(ids(d.View()), []fleet.ServerID{"a", "b"})
-	d.Apply([]Change{listed("a")}, now.Add(time.Second))
-	changes, altered := d.Expire(now.Add(lapseGrace - time.Millisecond))
-	is.Equal(len(changes), 0)
-	is.True(!altered)
-	changes, altered = d.Expire(now.Add(lapseGrace))
-	is.Equal(changes, []Change{gone("b")})
-	is.True(altered)
+	back := entryOf("a")
+	back.Sequence++
+	d.Apply([]Change{{Replica: "a", Entry: back}}, now.Add(time.Second))
+	is.True(!d.Expire(now.Add(lapseGrace - time.Millisecond)))
+	until, waiting := d.NextExpiry()
+	is.True(waiting)
+	is.Equal(until, now.Add(lapseGrace))
+	is.True(d.Expire(now.Add(lapseGrace)))
 	is.Equal(ids(d.View()), []fleet.ServerID{"a"})
 	d.Apply([]Change{gone("a")}, now.Add(lapseGrace))
 	is.Equal(ids(d.View()), []fleet.ServerID{})
@@ -122,10 +125,8 @@
 	d, now := New(), time.Now()
 	d.Apply([]Change{{Instance: "i", Registered: &Instance{ID: "i"}}, {Instance: "i", Gone: true}}, now)
 	is.Equal(len(d.View().Instances), 1)
-	_, altered := d.Expire(now.Add(instanceMemory - time.Millisecond))
-	is.True(!altered)
-	_, altered = d.Expire(now.Add(instanceMemory))
-	is.True(altered)
+	is.True(!d.Expire(now.Add(instanceMemory - time.Millisecond)))
+	is.True(d.Expire(now.Add(instanceMemory)))
 	is.Equal(len(d.View().Instances), 0)
 }
 
@@ -138,3 +139,32 @@
 	other.Replace(d.All(), now)
 	is.Equal(other.View(), d.View())
 }
+
+// TestOldHeartbeats guards against a heartbeat that the store took late and that brings a leaving replica, or one that is
+// gone, back: requests reached it for longer than the bound (guaman-latch-grown, seed 970211026331).
+func TestOldHeartbeats(t *testing.T) {
+	beat := func(born, sequence int64, draining bool) Change {
+		entry := entryOf("a")
+		entry.Born, entry.Sequence, entry.Draining = born, sequence, draining
+		return Change{Replica: "a", Entry: entry}
+	}
+	for name, test := range map[string]struct {
+		changes []Change
+		usable  []fleet.ServerID
+	}{
+		"late before leaving":    {[]Change{beat(1, 5, false), beat(1, 7, true), beat(1, 6, false)}, []fleet.ServerID{}},
+		"late after its end":     {[]Change{beat(1, 5, false), gone("a"), beat(1, 4, false)}, []fleet.ServerID{}},
+		"of an earlier process":  {[]Change{beat(2, 1, true), beat(1, 90, false)}, []fleet.ServerID{}},
+		"of a new process":       {[]Change{beat(1, 90, true), beat(2, 1, false)}, []fleet.ServerID{"a"}},
+		"back after a lapse":     {[]Change{beat(1, 5, false), gone("a"), beat(1, 6, false)}, []fleet.ServerID{"a"}},
+		"the same once more":     {[]Change{beat(1, 5, false), beat(1, 5, false)}, []fleet.ServerID{"a"}},
+		"no longer leaving":      {[]Change{beat(1, 5, true), beat(1, 6, false)}, []fleet.ServerID{"a"}},
+		"listed again, the same": {[]Change{beat(1, 5, false), gone("a"), beat(1, 5, false)}, []fleet.ServerID{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := New()
+			d.Apply(test.changes, time.Now())
+			is.New(t).Equal(ids(d.View()), test.usable)
+		})
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -89,7 +89,26 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		f.sleep(ctx, f.round(ctx))
+		f.sleep(ctx, f.untilExpiry(f.round(ctx)))
+		f.dropLapsed()
+	}
+}
+
+// untilExpiry shortens a pause to the moment at which an entry lapses.
+func (f *Follower) untilExpiry(pause time.Duration) time.Duration {
+	f.journal.mutex.Lock()
+	defer f.journal.mutex.Unlock()
+	if until, waiting := f.journal.state.NextExpiry(); waiting {
+		return min(pause, max(0, time.Until(until)))
+	}
+	return pause
+}
+
+func (f *Follower) dropLapsed() {
+	f.journal.mutex.Lock()
+	defer f.journal.mutex.Unlock()
+	if f.expire(time.Now()) {
+		f.show(f.journal.revision)
 	}
 }
 
@@ -199,10 +218,7 @@
 	} else {
 		altering = j.state.Apply(changes, now)
 	}
-	dropped, expired := j.state.Expire(now)
-	if len(dropped) > 0 {
-		klog.InfoS("Lapsed entries dropped", "entries", len(dropped), "revision", revision)
-	}
+	expired := f.expire(now)
 	j.revision = max(j.revision, revision)
 	if heard := now.Add(-age); heard.After(j.heard) {
 		j.heard = heard
@@ -210,8 +226,26 @@
 	if whole && j.from == 0 {
 		j.from = revision
 	}
-	j.record(append(altering, dropped...), j.revision)
-	if len(altering) == 0 && !expired || !j.state.Ready() {
+	j.record(altering, j.revision)
+	if len(altering) > 0 || expired {
+		f.show(revision)
+	}
+}
+
+// expire drops what has lapsed. The caller holds the journal's mutex.
+func (f *Follower) expire(now time.Time) bool {
+	before := f.journal.state.Replicas()
+	expired := f.journal.state.Expire(now)
+	if dropped := before - f.journal.state.Replicas(); dropped > 0 {
+		klog.InfoS("Lapsed entries dropped", "entries", dropped, "revision", f.journal.revision)
+	}
+	return expired
+}
+
+// show publishes the view. The caller holds the journal's mutex.
+func (f *Follower) show(revision uint64) {
+	j := f.journal
+	if !j.state.Ready() {
 		return
 	}
 	view := j.state.View()
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -401,3 +401,48 @@
 	_, ok = readerOf("c", all, none)
 	is.True(!ok)
 }
+
+// TestPeerBehind guards against an instance that takes the older state of a peer: what changed in between would never come
+// again, because its own position stays (guaman-latch-grown, seed 970211026331: a replica that leaves was used for 5 s).
+func TestPeerBehind(t *testing.T) {
+	play(t, []fleet.InstanceID{"i1", "i2"}, func(is *is.I, s *store, i *instances) {
+		time.Sleep(2 * time.Second)
+		peer := New(Options{Random: rand.New(rand.NewPCG(1, 1)), Publish: func(*directory.View) {}})
+		peer.take([]directory.Change{configuration(1), replica("r1"), replica("r2"), replica("old")}, true, 3, 0)
+		behind := directory.Instance{ID: "behind", Zone: "a", Peers: "behind"}
+		i.mutex.Lock()
+		i.running["behind"] = peer
+		i.mutex.Unlock()
+		f := New(Options{
+			Self: directory.Instance{ID: "f", Zone: "a"}, Source: &link{store: s}, Peers: i, Pause: pause,
+			Random: rand.New(rand.NewPCG(1, 1)), Publish: func(*directory.View) {},
+		})
+		s.write(goneReplica("r2"))
+		_, err := f.read(context.Background())
+		is.NoErr(err)
+		before := f.journal.state.View()
+		is.True(!f.ask(context.Background(), behind))
+		is.Equal(f.journal.state.View().Replicas, before.Replicas)
+		is.Equal(len(before.Replicas["s"]), 4)
+	})
+}
+
+// TestLapseReachesPeers replays an outage that only the reader of a zone noticed, in which a replica left. It guards against
+// followers that never hear that the replica was dropped, because nothing in the store changes at that moment
+// (guaman-latch-grown, seed 970211026331).
+func TestLapseReachesPeers(t *testing.T) {
+	names := []fleet.InstanceID{"i1", "i2", "i3"}
+	play(t, names, func(is *is.I, s *store, i *instances) {
+		time.Sleep(5 * time.Second)
+		reader, ok := readerOf("a", i.running["i1"].present(), func(fleet.InstanceID) bool { return false })
+		is.True(ok)
+		i.links[reader.ID].cut.Store(true)
+		time.Sleep(1200 * time.Millisecond)
+		s.write(goneReplica("r2"))
+		i.links[reader.ID].cut.Store(false)
+		time.Sleep(2500*time.Millisecond + 2*pause)
+		for _, name := range names {
+			is.Equal(i.replicas(name), 4)
+		}
+	})
+}
--- a/internal/follow/journal.go
+++ b/internal/follow/journal.go
@@ -86,7 +86,8 @@
 
 func (j *journal) news(after uint64, now time.Time) News {
 	news := News{Revision: j.revision, Age: now.Sub(j.heard)}
-	if after < j.from || after > j.revision {
+	// A peer that is ahead gets nothing: the state here would take it back.
+	if after < j.from {
 		news.Whole = true
 		news.Changes = j.state.All()
 		return news
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -42,6 +42,8 @@
 	Instance   fleet.InstanceID    `json:"instance,omitempty"`
 	Registered *directory.Instance `json:"registered,omitempty"`
 	Gone       bool                `json:"gone,omitempty"`
+	// LapsesMillis is how long a replica that is gone is kept.
+	LapsesMillis int64 `json:"lapses-millis,omitempty"`
 }
 
 type tableMessage struct {
@@ -60,6 +62,9 @@
 		if change.Table != nil {
 			encoded.Table = &tableMessage{change.Table.Version(), change.Table.Routes(), change.Table.Services(), change.Table.Limits()}
 		}
+		if change.Lapses.After(now) {
+			encoded.LapsesMillis = change.Lapses.Sub(now).Milliseconds()
+		}
 		if change.Entry != nil {
 			entry := *change.Entry
 			encoded.ColdMillis = max(0, entry.ColdUntil.Sub(now).Milliseconds())
@@ -79,6 +84,9 @@
 			Replica: encoded.Replica, Entry: encoded.Entry, Zone: encoded.Zone, Instance: encoded.Instance,
 			Registered: encoded.Registered, Gone: encoded.Gone,
 		}
+		if encoded.LapsesMillis > 0 {
+			change.Lapses = now.Add(time.Duration(encoded.LapsesMillis) * time.Millisecond)
+		}
 		if change.Entry != nil && encoded.ColdMillis > 0 {
 			change.Entry.ColdUntil = now.Add(time.Duration(encoded.ColdMillis) * time.Millisecond)
 		}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -44,16 +44,16 @@
 	return f.journal.state.Present()
 }
 
-// ask takes the news of a peer. It fails if the peer does not answer or has not heard the store for so long that this
-// instance may do better; then the peer is passed over for a while.
+// ask takes the news of a peer. It fails if the peer does not answer, has not heard the store for so long that this
+// instance may do better, or is behind this instance; then the peer is passed over for a while.
 func (f *Follower) ask(ctx context.Context, peer directory.Instance) bool {
 	bounded, cancel := context.WithTimeout(ctx, f.Pause+peerTimeout)
 	defer cancel()
 	after := f.revision()
 	news, err := f.Peers.News(bounded, peer.Peers, after, f.Pause)
-	if err != nil || news.Age > f.freshFor() {
+	if err != nil || news.Age > f.freshFor() || news.Revision < after {
 		if ctx.Err() == nil {
-			klog.InfoS("Peer passed over", "instance", peer.ID, "age", news.Age, "err", err)
+			klog.InfoS("Peer passed over", "instance", peer.ID, "age", news.Age, "revision", news.Revision, "own", after, "err", err)
 			f.passed[peer.ID] = time.Now().Add(peerPause)
 		}
 		return false
