--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -52,8 +52,10 @@
 	// firstRetry doubles after each failure up to longestRetry. Calls are paid for also while the store refuses them.
 	firstRetry   = 100 * time.Millisecond
 	longestRetry = time.Second
-	// shortOutage is the longest failure of the store after which no registration can have lapsed.
-	shortOutage = 500 * time.Millisecond
+	// lapseAfter is the time without a word of the store, from any instance, after which registrations may have lapsed. A
+	// replica lapses after three heartbeats of 1.2 s; where the store only refuses this instance, peers have heard it up
+	// to a pause, a call and a retry ago.
+	lapseAfter = 3200 * time.Millisecond
 )
 
 // Options are what a Follower is made of.
@@ -261,16 +263,17 @@
 	f.Publish(view)
 }
 
-// heard records that the store answered this instance.
+// heard records that the store answered this instance. Registrations may have lapsed if no instance heard the store for
+// long; a store that only refused this one went on with the heartbeats of the replicas.
 func (f *Follower) heard(now time.Time) {
 	if f.failures > 0 {
-		outage := now.Sub(f.direct)
-		klog.InfoS("Store regained", "failures", f.failures, "outage", outage)
-		if outage > shortOutage {
-			f.journal.mutex.Lock()
+		f.journal.mutex.Lock()
+		away := now.Sub(f.journal.heard)
+		if away > lapseAfter {
 			f.journal.state.Restored(now)
-			f.journal.mutex.Unlock()
 		}
+		f.journal.mutex.Unlock()
+		klog.InfoS("Store regained", "failures", f.failures, "outage", now.Sub(f.direct), "unheard-by-all", away)
 	}
 	f.failures = 0
 	f.direct = now
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -450,3 +450,24 @@
 		}
 	})
 }
+
+// TestRefusedAlone replays a store that refuses only the reader of a zone while a replica leaves. It guards against a time of
+// grace for entries that cannot have lapsed: with it requests reached the replica beyond the bound (guaman-latch,
+// trouble-1, seed 201044179259).
+func TestRefusedAlone(t *testing.T) {
+	names := []fleet.InstanceID{"i1", "i2", "i3"}
+	play(t, names, func(is *is.I, s *store, i *instances) {
+		time.Sleep(5 * time.Second)
+		reader, ok := readerOf("a", i.running["i1"].present(), func(fleet.InstanceID) bool { return false })
+		is.True(ok)
+		i.links[reader.ID].cut.Store(true)
+		time.Sleep(8 * time.Second)
+		s.write(goneReplica("r2"))
+		time.Sleep(500 * time.Millisecond)
+		i.links[reader.ID].cut.Store(false)
+		time.Sleep(bound - 500*time.Millisecond)
+		for _, name := range names {
+			is.Equal(i.replicas(name), 4)
+		}
+	})
+}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -101,7 +101,7 @@
 		f.passed[peer.ID] = time.Now().Add(peerPause)
 		return
 	}
-	if news.Revision > f.revision() {
-		f.learn(news)
+	if news.Revision >= f.revision() {
+		f.learn(news) // without a change it still says that the store is there
 	}
 }
