--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -232,10 +232,10 @@
 	if heard := now.Add(-age); heard.After(j.heard) {
 		j.heard = heard
 	}
-	if whole && j.from == 0 {
-		j.from = revision
-	}
 	j.record(altering, j.revision)
+	if whole {
+		j.restart()
+	}
 	if len(altering) > 0 || expired {
 		f.show(revision)
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -471,3 +471,20 @@
 		}
 	})
 }
+
+// TestListLeavesAGap guards against a peer that listed the store while entries had lapsed and never hears that they are back,
+// because the instance that it asks listed before and after and saw no difference (soak, seed 24: no replica for 12 s).
+func TestListLeavesAGap(t *testing.T) {
+	is := is.New(t)
+	newFollower := func() *Follower {
+		return New(Options{Random: rand.New(rand.NewPCG(1, 1)), Publish: func(*directory.View) {}})
+	}
+	reader, other := newFollower(), newFollower()
+	there := []directory.Change{configuration(1), replica("r1")}
+	reader.take(there, true, 3, 0)
+	other.take([]directory.Change{configuration(1)}, true, 5, 0)
+	reader.take(there, true, 9, 0)
+	other.learn(reader.News(context.Background(), other.revision(), 0))
+	is.Equal(len(other.journal.state.View().Replicas["s"]), 1)
+	is.Equal(other.revision(), uint64(9))
+}
--- a/internal/follow/journal.go
+++ b/internal/follow/journal.go
@@ -63,6 +63,12 @@
 	j.altered = make(chan struct{})
 }
 
+// restart forgets the entries after a whole list: what came and went since the position before is not known, so that a peer
+// from in between needs the whole state. The caller holds the mutex.
+func (j *journal) restart() {
+	j.from, j.entries = j.revision, nil
+}
+
 // since returns what a peer at the revision does not have, waiting up to wait for something new.
 func (j *journal) since(ctx context.Context, after uint64, wait time.Duration) News {
 	timer := time.NewTimer(wait)
--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -18,9 +18,10 @@
 	wayBack = 9 * time.Millisecond
 	// lastMoment is the time kept before the deadline for a final refusal or a late answer.
 	lastMoment = 20 * time.Millisecond
-	// linger is how long sends that are still running go on after their request was answered. Their answers show when a
-	// pause ends and keep the connections; a pause is shorter.
-	linger = 300 * time.Millisecond
+	// linger is how long sends that are still running go on after their request was answered: a part that is nearly done
+	// keeps its connection, and its answer shows that its replica is well. Longer ones use slots that others need: 300 ms
+	// cost 0.01 of the score on both deployments.
+	linger = 40 * time.Millisecond
 	// defaultInstances stands for the number of entry instances until it is known.
 	defaultInstances = 8
 	// mostRequests bounds the requests in progress in one process; each holds its parts in memory.
