--- a/internal/lookup/gate.go
+++ b/internal/lookup/gate.go
@@ -20,15 +20,17 @@
 	// without any queue and more than 3 times where each part waits for longer than it runs. At 2.2 the gate also refused
 	// in the first second after a restart and beside slow replicas, where the load could be served.
 	slowFactor = 3.2
-	// congestedShare and clearShare are the shares of late requests above which the limit falls and below which it rises.
-	congestedShare = 0.5
-	clearShare     = 0.25
+	// congestedShare is the share of late requests at which a limit begins; fallAbove and riseBelow are those above and below
+	// which it falls and rises once there is one. A limit begins late, because replicas that are slow by themselves make
+	// requests late as well, and then holds the replicas where few requests are.
+	congestedShare       = 0.5
+	fallAbove, riseBelow = 0.3, 0.15
 	// slowGain is the weight of one request in the share.
 	slowGain = 0.1
 	// adaptEvery is the least time between two changes of the limit, about the time in which one shows.
 	adaptEvery = 50 * time.Millisecond
 	// fall and rise are the steps of the limit.
-	fall, rise = 0.9, 1.1
+	fall, rise = 0.9, 1.05
 	// shareFactor is the least limit in times of this instance's part of the replicas' slots: less would leave slots idle,
 	// and a little more lets the next part wait at the replica where the last one ends.
 	shareFactor = 1.5
@@ -159,7 +161,7 @@
 		return
 	}
 	switch {
-	case g.slow > congestedShare && g.count > 0:
+	case g.count > 0 && (g.slow > congestedShare || g.limit > 0 && g.slow > fallAbove):
 		if g.limit == 0 {
 			klog.InfoS("Admission limited", "shard", g.name, "late-share", g.slow, "running", g.count)
 		}
@@ -167,7 +169,7 @@
 			g.limit = g.running
 		}
 		g.limit = max(g.limit*fall, g.least())
-	case g.slow < clearShare && g.limit > 0:
+	case g.slow < riseBelow && g.limit > 0:
 		g.limit *= rise
 		if g.limit > slackFactor*g.running && len(g.queue) == 0 {
 			g.limit = 0
