Go by a server's entry of now for its connections

Cause of TestNoContactWithServersOut's failure, traced: a question under way holds the entry from before its server began to leave. If it asks for a connection after closeIdle ran, the old entry permits one, in a new pool that nothing closes later and that the prober keeps alive.

--- a/internal/entry/contact.go
+++ b/internal/entry/contact.go
@@ -16,8 +16,12 @@
 }
 
 // connections is the limit of connections to a server. With 0 no connection is opened, and one in use is closed after
-// its call.
+// its call. It goes by the server's entry of now, because the caller may have looked it up before the server began to
+// leave, and no one closes a connection that is opened or kept after closeIdle.
 func (i *Instance) connections(server fleet.Server) int {
+	if current, known := i.members.server(server.ID); known {
+		server = current
+	}
 	if !i.mayContact(server) {
 		return 0
 	}
--- a/internal/entry/contact_test.go
+++ b/internal/entry/contact_test.go
@@ -48,3 +48,20 @@
 		eventually(t, id+" is asked again", func() bool { return servers[id].requests.Load() > before[id].requests })
 	}
 }
+
+// TestConnectionsByTheCurrentEntry guards against a question that was under way when its server began to leave and opens or
+// keeps a connection by the entry from before: nothing closes that one later, and the prober keeps it alive.
+func TestConnectionsByTheCurrentEntry(t *testing.T) {
+	check := is.New(t)
+	d := newDeployment(t)
+	d.configure(func(c catalogue.Catalogue) catalogue.Catalogue { return c })
+	seen := d.serve(t, "leaving", "zone-a")
+	i := d.run(t, "entry-1", "zone-a", func(*settings.Settings) {})
+	eventually(t, "it is asked", func() bool { return seen.requests.Load() > 1 })
+	before, known := i.members.server("leaving")
+	check.True(known)
+	check.True(i.connections(before) > 0)
+	d.setLeaving("leaving")
+	eventually(t, "it is leaving", func() bool { return i.server("leaving").State == "leaving" })
+	check.Equal(i.connections(before), 0)
+}
