--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -33,6 +33,7 @@
 
 // Message is one HTTP request to a backend server.
 type Message struct {
+	// Method decides whether the answer has a body.
 	Method string
 	// Render appends the request to the buffer. left is the time until the deadline at the moment of the write.
 	Render func(buffer []byte, left time.Duration) []byte
@@ -53,7 +54,7 @@
 
 // RelayCounts counts what a Relay did since its start.
 type RelayCounts struct {
-	Calls, Opened, Skipped, Unanswered int64
+	Opened, Skipped, Unanswered int64
 }
 
 // Relay holds the connections to all backend servers. It is safe for concurrent use.
@@ -61,7 +62,6 @@
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 	pools   pools
 	buffers sync.Pool
-	calls   atomic.Int64
 	opened  atomic.Int64
 	skipped atomic.Int64
 	silent  atomic.Int64
@@ -83,7 +83,7 @@
 
 // Counts returns the counts since the start.
 func (r *Relay) Counts() RelayCounts {
-	return RelayCounts{r.calls.Load(), r.opened.Load(), r.skipped.Load(), r.silent.Load()}
+	return RelayCounts{r.opened.Load(), r.skipped.Load(), r.silent.Load()}
 }
 
 // Forget closes the idle connections to a server.
@@ -92,7 +92,6 @@
 // Do sends the message to the server at the address over one of at most limit connections. It sends nothing a second
 // time. The error's verdict is NotRun only if no byte was written. The end of ctx closes the connection.
 func (r *Relay) Do(ctx context.Context, server fleet.Server, limit int, message *Message) (Answer, *verdict.Error) {
-	r.calls.Add(1)
 	p := r.pools.of(server)
 	c, failure := r.connect(ctx, p, server, limit, message.Deadline)
 	if failure != nil {
--- a/internal/lookup/load.go
+++ b/internal/lookup/load.go
@@ -179,8 +179,8 @@
 	stallCost   = 12
 	suspectCost = 30
 	rejectCost  = 4
-	// waitingCost is what one request of this instance that waits at the replica adds.
-	waitingCost = 0.5
+	// waitingCost is what this instance's requests that wait at the replica add, for each of its slots.
+	waitingCost = 1
 	// remoteCost and remoteDelay are what a replica in another availability zone adds: bytes between zones are paid
 	// for, and each way takes about a millisecond.
 	remoteCost  = 0.3
@@ -195,7 +195,7 @@
 	if cold {
 		times *= coldSlowness
 	}
-	times *= 1 + 2*waitingCost*float64(len(l.waiting))/float64(max(slots, 1))
+	times *= 1 + waitingCost*float64(len(l.waiting))/float64(max(slots, 1))
 	times += rejectCost * l.rejectsAt(now)
 	if l.stalled(now) {
 		times += stallCost
--- a/internal/lookup/plan.go
+++ b/internal/lookup/plan.go
@@ -120,16 +120,15 @@
 	if g == nil || len(g.members) == 0 {
 		return nil, g
 	}
-	left := slices.Clone(tried)
 	for {
-		best := e.cheapest(g, left, likely, expected, now)
+		best := e.cheapest(g, tried, likely, expected, now)
 		if best == nil {
 			return nil, g
 		}
 		if g.service.ColdRate <= 0 || !now.Before(best.ColdUntil) || best.load.admitCold(now, g.service.ColdRate, e.Instances()) {
 			return best, g
 		}
-		left = append(left, best.load)
+		tried = append(tried[:len(tried):len(tried)], best.load) // a copy: the caller keeps its own
 	}
 }
 
