--- a/internal/follow/source_test.go
+++ b/internal/follow/source_test.go
@@ -92,14 +92,14 @@
 // followers that never hear that the replica was dropped, because nothing in the store changes at that moment
 // (guaman-latch-grown, seed 970211026331).
 func TestLapseReachesPeers(t *testing.T) {
-	leaveWhileCut(t, 1200*time.Millisecond, 2500*time.Millisecond+2*pause)
+	leaveWhileCut(t, 1200*time.Millisecond, 0, 2500*time.Millisecond+2*pause)
 }
 
 // TestRefusedAlone replays a store that refuses only the reader of a zone while a replica leaves. It guards against a time of
 // grace for entries that cannot have lapsed: with it requests reached the replica beyond the bound (guaman-latch,
 // trouble-1, seed 201044179259).
 func TestRefusedAlone(t *testing.T) {
-	leaveWhileCut(t, 8*time.Second, bound)
+	leaveWhileCut(t, 8*time.Second, 500*time.Millisecond, bound)
 }
 
 // TestListLeavesAGap guards against a peer that listed the store while entries had lapsed and never hears that they are back,
@@ -119,9 +119,9 @@
 	is.Equal(other.revision(), uint64(9))
 }
 
-// leaveWhileCut cuts the reader of a zone from the store for a time, at whose end a replica leaves, and checks that every
-// instance has dropped the replica within the given time.
-func leaveWhileCut(t *testing.T, cut, within time.Duration) {
+// leaveWhileCut cuts the reader of a zone from the store for a time and lets a replica leave, until then and some time
+// longer, and checks that every instance has dropped the replica within the given time after it left.
+func leaveWhileCut(t *testing.T, cut, longer, within time.Duration) {
 	t.Helper()
 	names := []fleet.InstanceID{"i1", "i2", "i3"}
 	play(t, names, func(is *is.I, s *store, i *instances) {
@@ -131,8 +131,9 @@
 		i.links[reader.ID].cut.Store(true)
 		time.Sleep(cut)
 		s.write(goneReplica("r2"))
+		time.Sleep(longer)
 		i.links[reader.ID].cut.Store(false)
-		time.Sleep(within)
+		time.Sleep(within - longer)
 		for _, name := range names {
 			is.Equal(i.replicas(name), 4)
 		}
