Count requests, sends and shards by route, class, zone, service and reason

Cause: the metrics had only totals, so that the pages could not show how many other requests met the failure that one request met; changes of a replica's or a zone's state had no line. Change: counters and histograms with bounded labels, states of replicas, extra sends spent and left, ages of the configuration and of the last word of the store, store calls by outcome, dropped lines by kind. Lines "Replica silent", "Replica answers again", "Replica misdirected", "Zone cut off", "Zone reached again". TestMetrics now checks values and labels in place of three names.

--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -124,21 +124,20 @@
 			return err
 		}
 	}
-	gauges := map[string]func() int64{
-		"medlarlatch.connections.open":       func() int64 { return int64(i.transport.Stats().Open) },
-		"medlarlatch.queries.in_progress":    func() int64 { return int64(i.admission.State().InFlight) },
-		"medlarlatch.configuration.revision": func() int64 { return int64(latest(i.holder.Revisions())) },
-		"medlarlatch.configuration.age_seconds": func() int64 {
-			if view := i.holder.Current(); view != nil {
-				return int64(time.Since(view.Since).Seconds())
-			}
-			return -1
-		},
+	gauges := map[string]func() float64{
+		"medlarlatch.connections.open":       func() float64 { return float64(i.transport.Stats().Open) },
+		"medlarlatch.queries.in_progress":    func() float64 { return float64(i.admission.State().InFlight) },
+		"medlarlatch.configuration.revision": func() float64 { return float64(latest(i.holder.Revisions())) },
 	}
 	for name, value := range gauges {
-		if err := i.telemetry.Gauge(name, "See docs/operators/status.md.", value); err != nil {
+		if err := i.telemetry.Gauge(name, "", "See docs/operators/status.md.", value); err != nil {
 			return err
 		}
 	}
-	return nil
+	return i.telemetry.Gauge("medlarlatch.configuration.age", "s", "See docs/operators/status.md.", func() float64 {
+		if view := i.holder.Current(); view != nil {
+			return time.Since(view.Since).Seconds()
+		}
+		return -1
+	})
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -95,6 +95,14 @@
 	return f.journal.since(ctx, after, min(wait, longestWait))
 }
 
+// Heard returns when this instance heard the store last, directly or through peers; zero if never. It is safe for
+// concurrent use.
+func (f *Follower) Heard() time.Time {
+	f.journal.mutex.Lock()
+	defer f.journal.mutex.Unlock()
+	return f.journal.heard
+}
+
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/httpapi/callers.go
+++ b/internal/httpapi/callers.go
@@ -80,7 +80,7 @@
 	if refusal != nil {
 		reason = refusal.Reason
 	}
-	c.metrics.Query(reason, time.Since(started))
+	c.metrics.Query(telemetry.Query{Route: routeOf(r, reason), Reason: reason, Elapsed: time.Since(started)})
 	if refusal != nil {
 		writeRefusal(w, statusOf(refusal), refusal)
 		return
@@ -88,6 +88,16 @@
 	write(w, http.StatusOK, answer)
 }
 
+// routeOf returns the application of a query for the metrics. A name that no configuration has confirmed is left out:
+// callers could fill the metrics with them.
+func routeOf(r *http.Request, reason verdict.Reason) string {
+	switch reason {
+	case verdict.InvalidRequest, verdict.UnknownApplication, verdict.NotReady:
+		return ""
+	}
+	return mux.Vars(r)["application"]
+}
+
 func (c callers) answer(w http.ResponseWriter, r *http.Request) (json.RawMessage, *api.Refusal) {
 	body, refusal := readBody(w, r)
 	if refusal != nil {
@@ -118,7 +128,7 @@
 		tickets, refusal = c.service.Tickets(r.Context(), asked.Count)
 	}
 	if refusal != nil {
-		c.metrics.Query(refusal.Reason, 0)
+		c.metrics.Query(telemetry.Query{Reason: refusal.Reason})
 		writeRefusal(w, statusOf(refusal), refusal)
 		return
 	}
--- a/internal/lookup/attempt.go
+++ b/internal/lookup/attempt.go
@@ -36,6 +36,7 @@
 		outcome := e.sender.Send(ctx, request, a.to.Replica, connections)
 		now := time.Now()
 		a.to.load.end(a.number, now, &outcome)
+		e.recordSend(a.to, outcome.Reason, now.Sub(a.sent))
 		if outcome.Unsent && a.paid != nil {
 			a.paid.refund()
 		}
--- a/internal/lookup/budget.go
+++ b/internal/lookup/budget.go
@@ -85,6 +85,14 @@
 	b.allExtra--
 }
 
+// state returns the extra sends in the window, and how many more are allowed.
+func (b *budget) state(now time.Time, allowed Allowance) (spent, left float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.advance(now, allowed.Window)
+	return float64(b.allExtra), b.left(allowed)
+}
+
 func (b *budget) left(allowed Allowance) float64 {
 	return ratioMargin*allowed.Ratio*float64(b.allRequests) + allowed.Extra - float64(b.allExtra)
 }
--- a/internal/lookup/compose.go
+++ b/internal/lookup/compose.go
@@ -110,6 +110,7 @@
 				reason = verdict.DeadlinePassed
 			}
 			f.trace.Missed[reason]++
+			f.engine.recordMissed(p.service, reason)
 		}
 	}
 }
--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -32,6 +32,8 @@
 type Options struct {
 	Zone   fleet.ZoneID
 	Sender Sender
+	// Recorder may be nil.
+	Recorder Recorder
 	// Extra bounds the sends beyond the first of each request, for each service over all instances.
 	Extra Allowance
 	// Forget is called for each replica that is gone; it may be nil.
@@ -48,6 +50,7 @@
 type Engine struct {
 	zone      fleet.ZoneID
 	sender    Sender
+	recorder  Recorder
 	extra     atomic.Pointer[Allowance]
 	forgotten func(fleet.ServerID)
 	started   time.Time
@@ -73,6 +76,7 @@
 	e := &Engine{
 		zone:      options.Zone,
 		sender:    options.Sender,
+		recorder:  options.Recorder,
 		forgotten: options.Forget,
 		started:   time.Now(),
 		loads:     make(map[fleet.ServerID]known),
@@ -117,6 +121,18 @@
 	}
 }
 
+func (e *Engine) recordSend(to *member, reason verdict.Reason, elapsed time.Duration) {
+	if e.recorder != nil {
+		e.recorder.Sent(to.Service, to.Zone, reason, elapsed)
+	}
+}
+
+func (e *Engine) recordMissed(service fleet.ServiceID, reason verdict.Reason) {
+	if e.recorder != nil {
+		e.recorder.Missed(service, reason)
+	}
+}
+
 func (e *Engine) paceOf(route *routing.Route) *pace {
 	if found, ok := e.paces.Load(route.Name); ok {
 		return found.(*pace)
--- a/internal/lookup/load.go
+++ b/internal/lookup/load.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
@@ -39,6 +42,7 @@
 // load is what this instance knows of one start of a replica from its own sends. It answers three patterns: a replica
 // that pauses, one that is slow for seconds, and one that rejects or loses part of its requests.
 type load struct {
+	id       fleet.ServerID
 	mutex    sync.Mutex
 	waiting  []waiting // in the order of sending
 	numbers  uint64
@@ -83,6 +87,9 @@
 	elapsed := now.Sub(ended.sent)
 	switch {
 	case outcome.answered():
+		if l.silent > 0 {
+			klog.InfoS("Replica answers again", "replica", l.id, "silent-for", ageOf(l.heard, now), "sends-unanswered", l.silent)
+		}
 		l.heard = now
 		l.silent, l.vouched = 0, false
 		l.suspect = time.Time{}
@@ -92,11 +99,14 @@
 		} else {
 			l.reject(now, 1)
 		}
-		l.misdirected = l.misdirected || outcome.Reason == verdict.Misdirected
+		if outcome.Reason == verdict.Misdirected && !l.misdirected {
+			klog.InfoS("Replica misdirected", "replica", l.id)
+			l.misdirected = true
+		}
 	case outcome.Reason == verdict.Cancelled || outcome.Reason == verdict.DeadlinePassed:
 		l.unanswered(now, elapsed, ended)
 	case outcome.Reason == verdict.ConnectFailed:
-		l.suspectFor(now)
+		l.suspectFor(now, outcome.Reason)
 	case outcome.Reason == verdict.Overloaded:
 		// Every connection of this instance is in use; nothing is learnt of the replica.
 	default:
@@ -112,18 +122,29 @@
 	}
 	l.observe(now, elapsed, ended.expected)
 	if l.heard.Before(ended.sent) {
-		l.suspectFor(now)
+		l.suspectFor(now, verdict.DeadlinePassed)
 	}
 }
 
-func (l *load) suspectFor(now time.Time) {
+func (l *load) suspectFor(now time.Time, reason verdict.Reason) {
 	if now.Before(l.suspect) {
 		return
 	}
+	if l.silent == 0 {
+		klog.InfoS("Replica silent", "replica", l.id, "reason", reason, "heard", ageOf(l.heard, now), "waiting", len(l.waiting))
+	}
 	l.silent++
 	l.suspect = now.Add(min(firstSuspicion<<min(l.silent-1, 10), longestSuspicion))
 }
 
+// ageOf returns how long ago something was, for the log; -1 if never.
+func ageOf(at, now time.Time) time.Duration {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at)
+}
+
 func (l *load) observe(now time.Time, elapsed, expected time.Duration) {
 	ratio := min(float64(elapsed)/float64(max(expected, time.Millisecond)), mostSlowness)
 	current := l.slownessAt(now)
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/medlarlatch/medlarlatch/internal/directory"
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/internal/routing"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
@@ -35,6 +36,14 @@
 	Send(ctx context.Context, request *Request, to directory.Replica, connections int) Outcome
 }
 
+// Recorder counts what the engine did, for the metrics. It must not block.
+type Recorder interface {
+	// Sent is called at the end of each send.
+	Sent(service fleet.ServiceID, zone fleet.ZoneID, reason verdict.Reason, elapsed time.Duration)
+	// Missed is called for each shard without an answer at the end of its request.
+	Missed(service fleet.ServiceID, reason verdict.Reason)
+}
+
 // Outcome is what one send came to.
 type Outcome struct {
 	// Verdict says whether the replica ran the request; Reason is None for an answer that may be passed on as a success.
--- a/internal/lookup/plan.go
+++ b/internal/lookup/plan.go
@@ -42,7 +42,7 @@
 		for _, replica := range replicas {
 			state := e.loads[replica.ID]
 			if state.load == nil || !state.replica.SameProcess(replica) {
-				state = known{load: &load{}}
+				state = known{load: &load{id: replica.ID}}
 			}
 			state.replica = replica
 			loads[replica.ID] = state
--- a/internal/lookup/reach.go
+++ b/internal/lookup/reach.go
@@ -55,6 +55,7 @@
 // were not known to be silent have been tried in vain: the silent ones may be shards that are down for everyone.
 type reach struct {
 	doubtful map[fleet.ZoneID]time.Time // when the doubt began
+	cut      map[fleet.ZoneID]bool      // as judged last
 }
 
 // judge returns the zones that are cut off, and whether any is in doubt, so that replicas should be tried.
@@ -71,9 +72,24 @@
 			cut[id] = true
 		}
 	}
+	r.log(cut, remote)
 	return cut, len(r.doubtful) > 0
 }
 
+func (r *reach) log(cut map[fleet.ZoneID]bool, remote map[fleet.ZoneID]contact) {
+	for id := range cut {
+		if !r.cut[id] {
+			klog.InfoS("Zone cut off", "zone", id, "silent-replicas", remote[id].silent)
+		}
+	}
+	for id := range r.cut {
+		if !cut[id] {
+			klog.InfoS("Zone reached again", "zone", id, "silent-replicas", remote[id].silent)
+		}
+	}
+	r.cut = cut
+}
+
 // isolated decides whether this instance is cut off from all other zones: one is cut off and none answers. It answers a
 // zone that is cut off while its callers still reach it; most of their requests cannot be served here, but can be
 // elsewhere.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -1,7 +1,8 @@
 // Package telemetry holds the metrics of an entry instance, their Prometheus endpoint and the set-up of the log.
 //
 // The instruments belong to a Telemetry made by New; no global provider is used, so two instances in one process
-// do not mix their counts. The package decides nothing and the request path pays one update for each query.
+// do not mix their counts. The package decides nothing; the request path pays two updates for each query and one for
+// each send. Labels whose values come from callers or operators are bounded.
 package telemetry
 
 import (
@@ -37,8 +38,17 @@
 	registry *prometheus.Registry
 	queries  metric.Int64Counter
 	latency  metric.Float64Histogram
+	sends    metric.Float64Histogram
+	failures metric.Int64Counter
+	missed   metric.Int64Counter
+	store    metric.Int64Counter
 	refusals [128]atomic.Int64
-	outcomes map[verdict.Reason]metric.MeasurementOption
+
+	queryLabels   *labelSets[queryKey]
+	latencyLabels *labelSets[latencyKey]
+	sendLabels    *labelSets[sendKey]
+	serviceLabels *labelSets[serviceKey]
+	storeLabels   *labelSets[storeKey]
 }
 
 // New returns instruments that name the instance and its zone.
@@ -50,35 +60,70 @@
 	}
 	t := &Telemetry{provider: sdk.NewMeterProvider(sdk.WithReader(reader)), registry: registry}
 	t.meter = t.provider.Meter("github.com/medlarlatch/medlarlatch")
-	if t.queries, err = t.meter.Int64Counter("medlarlatch.queries", metric.WithDescription("Queries by reason; none is an answer.")); err != nil {
-		return nil, eris.Wrap(err, "query counter")
-	}
-	t.latency, err = t.meter.Float64Histogram("medlarlatch.query.duration", metric.WithUnit("s"),
-		metric.WithDescription("Time from the whole request to its answer."), metric.WithExplicitBucketBoundaries(latencyBounds...))
-	if err != nil {
-		return nil, eris.Wrap(err, "latency histogram")
+	t.labelQueries(attribute.String("instance", instance), attribute.String("zone", zone))
+	t.labelSends()
+	return t, t.instruments()
+}
+
+func (t *Telemetry) instruments() error {
+	for _, counter := range []struct {
+		to                *metric.Int64Counter
+		name, description string
+	}{
+		{&t.queries, "medlarlatch.queries", "Queries by route, class, answer and reason; the reason none is an answer."},
+		{&t.failures, "medlarlatch.sends.failed", "Sends without a good answer, by service and reason."},
+		{&t.missed, "medlarlatch.shards.missed", "Shards left out of answers and of queries that failed, by service and reason."},
+		{&t.store, "medlarlatch.store.calls", "Calls to the platform's store, by call and outcome."},
+	} {
+		var err error
+		if *counter.to, err = t.meter.Int64Counter(counter.name, metric.WithDescription(counter.description)); err != nil {
+			return eris.Wrap(err, counter.name)
+		}
 	}
-	t.outcomes = make(map[verdict.Reason]metric.MeasurementOption)
-	for _, reason := range verdict.Reasons() {
-		t.outcomes[reason] = metric.WithAttributeSet(attribute.NewSet(
-			attribute.String("instance", instance), attribute.String("zone", zone), attribute.String("reason", reason.String())))
+	for _, histogram := range []struct {
+		to                *metric.Float64Histogram
+		name, description string
+	}{
+		{&t.latency, "medlarlatch.query.duration", "Time from the whole request to its answer, of queries that got one."},
+		{&t.sends, "medlarlatch.send.duration", "Time of a send to a backend server, by the server's zone and the reason."},
+	} {
+		var err error
+		if *histogram.to, err = t.meter.Float64Histogram(histogram.name, metric.WithUnit("s"),
+			metric.WithDescription(histogram.description), metric.WithExplicitBucketBoundaries(latencyBounds...)); err != nil {
+			return eris.Wrap(err, histogram.name)
+		}
 	}
-	return t, nil
+	return nil
+}
+
+// Query is one query for the metrics.
+type Query struct {
+	// Route is the route or the application; empty if the query was refused before it was known.
+	Route string
+	Class string
+	// Reason is None for an answer.
+	Reason verdict.Reason
+	// Partial is set for an answer without some shards.
+	Partial bool
+	Elapsed time.Duration
 }
 
-// Query records one query that was answered, with reason None, or refused.
-func (t *Telemetry) Query(reason verdict.Reason, elapsed time.Duration) {
-	outcome, ok := t.outcomes[reason]
-	if !ok {
-		outcome = t.outcomes[verdict.ServerError]
+// Query records one query that was answered or refused.
+func (t *Telemetry) Query(query Query) {
+	answer := wholeAnswer
+	switch {
+	case query.Reason != verdict.None:
+		answer = noAnswer
+	case query.Partial:
+		answer = partialAnswer
 	}
-	t.queries.Add(context.Background(), 1, outcome)
-	if reason == verdict.None {
-		t.latency.Record(context.Background(), elapsed.Seconds(), outcome)
+	t.queries.Add(context.Background(), 1, t.queryLabels.option(queryKey{query.Route, query.Class, answer, query.Reason}))
+	if query.Reason == verdict.None {
+		t.latency.Record(context.Background(), query.Elapsed.Seconds(), t.latencyLabels.option(latencyKey{query.Route, query.Class, answer}))
 		return
 	}
-	if int(reason) > 0 && int(reason) < len(t.refusals) {
-		t.refusals[reason].Add(1)
+	if int(query.Reason) > 0 && int(query.Reason) < len(t.refusals) {
+		t.refusals[query.Reason].Add(1)
 	}
 }
 
@@ -95,21 +140,23 @@
 
 // Counter publishes a count that another package keeps.
 func (t *Telemetry) Counter(name, description string, value func() int64) error {
-	_, err := t.meter.Int64ObservableCounter(name, metric.WithDescription(description),
-		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
-			observer.Observe(value())
-			return nil
-		}))
+	return t.CounterBy(name, description, func() []Sample { return []Sample{{Value: float64(value())}} })
+}
+
+// CounterBy publishes counts that another package keeps, with their labels.
+func (t *Telemetry) CounterBy(name, description string, read func() []Sample) error {
+	_, err := t.meter.Float64ObservableCounter(name, metric.WithDescription(description), metric.WithFloat64Callback(observe(read)))
 	return eris.Wrap(err, name)
 }
 
-// Gauge publishes a value of now that another package keeps.
-func (t *Telemetry) Gauge(name, description string, value func() int64) error {
-	_, err := t.meter.Int64ObservableGauge(name, metric.WithDescription(description),
-		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
-			observer.Observe(value())
-			return nil
-		}))
+// Gauge publishes a value of now that another package keeps. The unit may be empty.
+func (t *Telemetry) Gauge(name, unit, description string, value func() float64) error {
+	return t.GaugeBy(name, unit, description, func() []Sample { return []Sample{{Value: value()}} })
+}
+
+// GaugeBy publishes values of now that another package keeps, with their labels.
+func (t *Telemetry) GaugeBy(name, unit, description string, read func() []Sample) error {
+	_, err := t.meter.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(description), metric.WithFloat64Callback(observe(read)))
 	return eris.Wrap(err, name)
 }
 
