Name the client of the store of a deployment coordination

Cause: internal/platform, the client of the project's own store and instance list, collided with platform/, the adapter of the users' platform.

--- a/internal/command/cases_test.go
+++ b/internal/command/cases_test.go
@@ -18,8 +18,8 @@
 	"github.com/matryer/is"
 
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/httpapi"
-	"github.com/medlarlatch/medlarlatch/internal/platform"
 	"github.com/medlarlatch/medlarlatch/internal/standin/inprocess"
 	"github.com/medlarlatch/medlarlatch/internal/standin/instances"
 	"github.com/medlarlatch/medlarlatch/internal/standin/store"
@@ -51,11 +51,11 @@
 
 func newStage(t *testing.T) *stage {
 	s := &stage{t: t, store: store.New(), files: make(map[string]string), stuck: make(map[string]bool)}
-	var lines []platform.Instance
+	var lines []coordination.Instance
 	s.hosts = map[string]http.Handler{"store:2400": s.store, "callers:7100": http.HandlerFunc(answerQuery)}
 	for i, zone := range []string{"zone-a", "zone-a", "zone-b", "zone-c"} {
 		id, address := fmt.Sprintf("entry-%d", i+1), fmt.Sprintf("10.0.0.%d:7101", i+1)
-		lines = append(lines, platform.Instance{ID: id, Kind: "entry", Zone: zone, Peers: fmt.Sprintf("10.0.0.%d:7102", i+1), Operators: address, State: "live"})
+		lines = append(lines, coordination.Instance{ID: id, Kind: "entry", Zone: zone, Peers: fmt.Sprintf("10.0.0.%d:7102", i+1), Operators: address, State: "live"})
 		s.hosts[address] = s.withBurn(id, zone, s.status(id, zone))
 	}
 	s.list = instances.New(lines...)
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -13,9 +13,9 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/internal/httpapi"
-	"github.com/medlarlatch/medlarlatch/internal/platform"
 	"github.com/medlarlatch/medlarlatch/internal/settings"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
@@ -69,22 +69,22 @@
 	return o, nil
 }
 
-func (o *operator) options() platform.Options {
-	return platform.Options{Client: o.environment.Client, Timeout: callTimeout, Random: o.environment.Random}
+func (o *operator) options() coordination.Options {
+	return coordination.Options{Client: o.environment.Client, Timeout: callTimeout, Random: o.environment.Random}
 }
 
 func (o *operator) editor() (*configuration.Editor, error) {
 	if o.Store == "" {
 		return nil, usageError("the store is not known; give --store or --settings")
 	}
-	return configuration.NewEditor(platform.NewStore(o.Store, o.options()), o.environment.Random), nil
+	return configuration.NewEditor(coordination.NewStore(o.Store, o.options()), o.environment.Random), nil
 }
 
 func (o *operator) entries(ctx context.Context) ([]fleet.Entry, error) {
 	if o.Instances == "" {
 		return nil, usageError("the instance list is not known; give --instances or --settings")
 	}
-	entries, _, err := platform.NewInstances(o.Instances, o.options()).List(ctx)
+	entries, _, err := coordination.NewInstances(o.Instances, o.options()).List(ctx)
 	return entries, err
 }
 
@@ -241,7 +241,7 @@
 	if o.Instances == "" {
 		return nil
 	}
-	entries, servers, err := platform.NewInstances(o.Instances, o.options()).List(ctx)
+	entries, servers, err := coordination.NewInstances(o.Instances, o.options()).List(ctx)
 	if err != nil {
 		fmt.Fprintln(o.environment.Errors, "medlarlatch: warning: the name is not checked:", err)
 		return nil
--- a/internal/configuration/cluster_test.go
+++ b/internal/configuration/cluster_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
-	"github.com/medlarlatch/medlarlatch/internal/platform"
 	"github.com/medlarlatch/medlarlatch/internal/standin/inprocess"
 	"github.com/medlarlatch/medlarlatch/internal/standin/store"
 )
@@ -130,7 +130,7 @@
 func (n *node) start(seed uint64) {
 	n.kill()
 	ctx, stop := context.WithCancel(n.cluster.t.Context())
-	adapter := platform.NewStore("http://store", platform.Options{
+	adapter := coordination.NewStore("http://store", coordination.Options{
 		Client: &http.Client{Transport: n.transport}, Timeout: time.Second, Random: seeded(seed),
 	})
 	holder := configuration.NewHolder(nil)
--- a/internal/configuration/editor_test.go
+++ b/internal/configuration/editor_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
-	"github.com/medlarlatch/medlarlatch/internal/platform"
 	"github.com/medlarlatch/medlarlatch/internal/standin/inprocess"
 	"github.com/medlarlatch/medlarlatch/internal/standin/store"
 )
@@ -24,7 +24,7 @@
 }
 
 func newEditor(s *store.Store, seed uint64) *configuration.Editor {
-	adapter := platform.NewStore("http://store", platform.Options{
+	adapter := coordination.NewStore("http://store", coordination.Options{
 		Client: inprocess.Client(s), Timeout: time.Second, Random: seeded(seed),
 	})
 	return configuration.NewEditor(adapter, seeded(seed+1))
--- a/internal/platform/capacity_bench_test.go
+++ b/internal/coordination/capacity_bench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package coordination_test
 
 import (
 	"context"
@@ -7,23 +7,23 @@
 	"net/http"
 	"testing"
 
-	"github.com/medlarlatch/medlarlatch/internal/platform"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/standin/inprocess"
 )
 
 // listOf returns an instance list with this many replicas and the entry instances that the target has for them.
-func listOf(replicas int) platform.InstanceList {
-	var list platform.InstanceList
-	add := func(i int, line platform.Instance) {
-		line.Zone, line.Region, line.State = fmt.Sprint("zone-", i%12), fmt.Sprint("region-", i%4), platform.StateLive
+func listOf(replicas int) coordination.InstanceList {
+	var list coordination.InstanceList
+	add := func(i int, line coordination.Instance) {
+		line.Zone, line.Region, line.State = fmt.Sprint("zone-", i%12), fmt.Sprint("region-", i%4), coordination.StateLive
 		list.Instances = append(list.Instances, line)
 	}
 	for i := range replicas {
-		add(i, platform.Instance{ID: fmt.Sprint("server-", i), Kind: platform.KindBackendServer, Service: fmt.Sprint("bib-index-", i/2), Address: fmt.Sprintf("10.%d.%d.1:7000", i/250, i%250)})
+		add(i, coordination.Instance{ID: fmt.Sprint("server-", i), Kind: coordination.KindBackendServer, Service: fmt.Sprint("bib-index-", i/2), Address: fmt.Sprintf("10.%d.%d.1:7000", i/250, i%250)})
 	}
 	for i := range replicas * 5200 / 44000 {
 		address := fmt.Sprintf("10.%d.%d.2:7000", i/250, i%250)
-		add(i, platform.Instance{ID: fmt.Sprint("entry-", i), Kind: platform.KindEntry, Peers: address, Operators: address})
+		add(i, coordination.Instance{ID: fmt.Sprint("entry-", i), Kind: coordination.KindEntry, Peers: address, Operators: address})
 	}
 	return list
 }
@@ -42,7 +42,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	adapter := platform.NewInstances("http://list", options(inprocess.Client(http.HandlerFunc(func(reply http.ResponseWriter, request *http.Request) {
+	adapter := coordination.NewInstances("http://list", options(inprocess.Client(http.HandlerFunc(func(reply http.ResponseWriter, request *http.Request) {
 		if tag != "" && request.Header.Get("If-None-Match") == tag {
 			reply.WriteHeader(http.StatusNotModified)
 			return
--- a/internal/platform/lists_test.go
+++ b/internal/coordination/lists_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package coordination_test
 
 import (
 	"strings"
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/medlarlatch/medlarlatch/internal/platform"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/standin/inprocess"
 )
 
@@ -47,7 +47,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				check := is.New(t)
-				adapter := platform.NewInstances("http://list", options(inprocess.Client(answer(200, `{"instances":[`+entry+","+c.line+"]}"))))
+				adapter := coordination.NewInstances("http://list", options(inprocess.Client(answer(200, `{"instances":[`+entry+","+c.line+"]}"))))
 				entries, servers, err := adapter.Poll(t.Context())
 				if c.want == "" {
 					check.NoErr(err)
--- a/internal/platform/store.go
+++ b/internal/coordination/store.go
@@ -1,9 +1,9 @@
-// Package platform reaches the platform's key-value store and its instance list over net/http.
+// Package coordination reaches the key-value store and the instance list of a deployment over net/http.
 //
 // Each adapter owns its counters of calls. Calls are bounded in time and size; reads are repeated after
 // a pause with jitter, a write is never repeated here, because only its caller can tell whether that is
 // right. Nothing here decides what a document means.
-package platform
+package coordination
 
 import (
 	"bytes"
--- a/internal/platform/platform_test.go
+++ b/internal/coordination/store_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package coordination_test
 
 import (
 	"context"
@@ -16,15 +16,15 @@
 	"github.com/matryer/is"
 
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
-	"github.com/medlarlatch/medlarlatch/internal/platform"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/standin/inprocess"
 	"github.com/medlarlatch/medlarlatch/internal/standin/instances"
 	"github.com/medlarlatch/medlarlatch/internal/standin/store"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
-func options(client *http.Client) platform.Options {
-	return platform.Options{Client: client, Timeout: time.Second, Random: rand.New(rand.NewPCG(1, 2))}
+func options(client *http.Client) coordination.Options {
+	return coordination.Options{Client: client, Timeout: time.Second, Random: rand.New(rand.NewPCG(1, 2))}
 }
 
 func answer(status int, body string) http.Handler {
@@ -65,7 +65,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				adapter := platform.NewStore("http://store", options(tc.client))
+				adapter := coordination.NewStore("http://store", options(tc.client))
 				revision, err := adapter.CompareAndSwap(t.Context(), configuration.Key, []byte("x"), 0)
 				got := fmt.Sprint("written ", revision)
 				if conflict, ok := errors.AsType[*configuration.ConflictError](err); ok {
@@ -86,7 +86,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := store.New()
-		adapter := platform.NewStore("http://store/", options(inprocess.Client(s)))
+		adapter := coordination.NewStore("http://store/", options(inprocess.Client(s)))
 		missing, err := adapter.Get(t.Context(), "medlarlatch/configuration")
 		is.NoErr(err)
 		is.Equal(missing.Revision, uint64(0))
@@ -122,10 +122,10 @@
 func TestInstances(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		entry := platform.Instance{ID: "entry-1", Kind: "entry", Zone: "zone-a", Peers: "10.0.0.1:1", Operators: "10.0.0.1:2", State: "live"}
-		server := platform.Instance{ID: "bib-1", Kind: "backend-server", Zone: "zone-a", Address: "10.0.0.2:1", Service: "bib", State: "leaving"}
+		entry := coordination.Instance{ID: "entry-1", Kind: "entry", Zone: "zone-a", Peers: "10.0.0.1:1", Operators: "10.0.0.1:2", State: "live"}
+		server := coordination.Instance{ID: "bib-1", Kind: "backend-server", Zone: "zone-a", Address: "10.0.0.2:1", Service: "bib", State: "leaving"}
 		list := instances.New(entry, server)
-		adapter := platform.NewInstances("http://list", options(inprocess.Client(list)))
+		adapter := coordination.NewInstances("http://list", options(inprocess.Client(list)))
 		entries, servers, err := adapter.List(t.Context())
 		is.NoErr(err)
 		is.Equal(entries[0].Operators, "10.0.0.1:2")
@@ -161,7 +161,7 @@
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 		defer cancel()
-		adapter := platform.NewStore("http://store", options(inprocess.Client(answer(status, body))))
+		adapter := coordination.NewStore("http://store", options(inprocess.Client(answer(status, body))))
 		if found, err := adapter.Get(ctx, configuration.Key); err == nil && found.Key != configuration.Key {
 			t.Fatalf("got %q", found.Key)
 		}
@@ -176,7 +176,7 @@
 		if revision, err := adapter.CompareAndSwap(ctx, configuration.Key, nil, 2); err == nil && (status != 200 || revision <= 2) {
 			t.Fatalf("status %d taken as written at %d", status, revision)
 		}
-		var list platform.InstanceList
+		var list coordination.InstanceList
 		if json.Unmarshal([]byte(body), &list) == nil {
 			entries, servers, err := list.Split()
 			if err == nil && len(entries)+len(servers) != len(list.Instances) {
--- a/internal/platform/tagged.go
+++ b/internal/coordination/tagged.go
@@ -1,4 +1,4 @@
-package platform
+package coordination
 
 import (
 	"net/http"
--- a/internal/platform/tagged_test.go
+++ b/internal/coordination/tagged_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package coordination_test
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/medlarlatch/medlarlatch/internal/platform"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/standin/inprocess"
 	"github.com/medlarlatch/medlarlatch/internal/standin/instances"
 )
@@ -16,9 +16,9 @@
 // when it has changed.
 func TestUnchangedList(t *testing.T) {
 	is := is.New(t)
-	entry := platform.Instance{ID: "entry-1", Kind: "entry", Zone: "zone-a", Peers: "10.0.0.1:1", Operators: "10.0.0.1:2", State: "live"}
+	entry := coordination.Instance{ID: "entry-1", Kind: "entry", Zone: "zone-a", Peers: "10.0.0.1:1", Operators: "10.0.0.1:2", State: "live"}
 	list := instances.New(entry)
-	adapter := platform.NewInstances("http://list", options(inprocess.Client(list)))
+	adapter := coordination.NewInstances("http://list", options(inprocess.Client(list)))
 	leaving := func() bool {
 		entries, _, err := adapter.List(t.Context())
 		is.NoErr(err)
@@ -50,7 +50,7 @@
 		`{"instances":[{"id":"a","kind":"entry","zone":"z","state":"unknown"}]}`,
 	}
 	current := 0
-	adapter := platform.NewInstances("http://list", options(inprocess.Client(http.HandlerFunc(func(reply http.ResponseWriter, request *http.Request) {
+	adapter := coordination.NewInstances("http://list", options(inprocess.Client(http.HandlerFunc(func(reply http.ResponseWriter, request *http.Request) {
 		tag := fmt.Sprintf("%q", fmt.Sprint(current))
 		reply.Header().Set("ETag", tag)
 		if request.Header.Get("If-None-Match") == tag {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,10 +22,10 @@
 	"github.com/medlarlatch/medlarlatch/internal/burn"
 	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/internal/httpapi"
 	"github.com/medlarlatch/medlarlatch/internal/peer"
-	"github.com/medlarlatch/medlarlatch/internal/platform"
 	"github.com/medlarlatch/medlarlatch/internal/query"
 	"github.com/medlarlatch/medlarlatch/internal/replica"
 	"github.com/medlarlatch/medlarlatch/internal/settings"
@@ -54,8 +54,8 @@
 	members   *members
 	holder    *configuration.Holder
 	spreader  *configuration.Spreader
-	store     *platform.Store
-	list      *platform.Instances
+	store     *coordination.Store
+	list      *coordination.Instances
 	transport *backend.Transport
 	owner     *replica.Owner
 	node      *peer.Node
@@ -114,8 +114,8 @@
 	i.admission = admission.NewGroup(admission.DefaultLimits())
 	i.tickets = ticket.NewRouter(i.runner, i.node, i.executeTicket)
 	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(s.Seed, stream)) }
-	i.store = platform.NewStore(s.Store, platform.Options{Timeout: s.Timeout, Random: random(1)})
-	i.list = platform.NewInstances(s.Instances, platform.Options{Timeout: s.Timeout, Random: random(2)})
+	i.store = coordination.NewStore(s.Store, coordination.Options{Timeout: s.Timeout, Random: random(1)})
+	i.list = coordination.NewInstances(s.Instances, coordination.Options{Timeout: s.Timeout, Random: random(2)})
 	i.spreader = configuration.NewSpreader(i.holder, i.store, configurationPeers{i}, i, random(3))
 	return i, i.publishMetrics()
 }
--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -16,9 +16,9 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/internal/httpapi"
-	"github.com/medlarlatch/medlarlatch/internal/platform"
 	"github.com/medlarlatch/medlarlatch/internal/settings"
 	"github.com/medlarlatch/medlarlatch/internal/standin/instances"
 	"github.com/medlarlatch/medlarlatch/internal/standin/relay"
@@ -29,7 +29,7 @@
 	store          *store.Store
 	list           *instances.List
 	storeAt, lists string
-	lines          []platform.Instance
+	lines          []coordination.Instance
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -51,8 +51,8 @@
 	}})).Format())
 }
 
-func (d *deployment) add(line platform.Instance) {
-	line.Region, line.State = "region-1", platform.StateLive
+func (d *deployment) add(line coordination.Instance) {
+	line.Region, line.State = "region-1", coordination.StateLive
 	d.lines = append(d.lines, line)
 	d.list.Set(d.lines...)
 }
@@ -60,7 +60,7 @@
 func (d *deployment) setLeaving(id string) {
 	for n := range d.lines {
 		if d.lines[n].ID == id {
-			d.lines[n].State = platform.StateLeaving
+			d.lines[n].State = coordination.StateLeaving
 		}
 	}
 	d.list.Set(d.lines...)
@@ -84,7 +84,7 @@
 	change(&s)
 	i, err := New(s)
 	is.New(t).NoErr(err)
-	d.add(platform.Instance{ID: string(id), Kind: platform.KindEntry, Zone: string(zone), Peers: s.Peers, Operators: s.Operators})
+	d.add(coordination.Instance{ID: string(id), Kind: coordination.KindEntry, Zone: string(zone), Peers: s.Peers, Operators: s.Operators})
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- i.Run(ctx) }()
@@ -136,8 +136,8 @@
 	}
 	server.Start()
 	t.Cleanup(server.Close)
-	d.add(platform.Instance{
-		ID: id, Kind: platform.KindBackendServer, Zone: zone, Service: "bib", Address: server.Listener.Addr().String(),
+	d.add(coordination.Instance{
+		ID: id, Kind: coordination.KindBackendServer, Zone: zone, Service: "bib", Address: server.Listener.Addr().String(),
 	})
 	return c
 }
--- a/internal/standin/baseline/baseline.go
+++ b/internal/standin/baseline/baseline.go
@@ -20,15 +20,15 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
-	"github.com/medlarlatch/medlarlatch/internal/platform"
 	"github.com/medlarlatch/medlarlatch/internal/snapshot"
 	"github.com/medlarlatch/medlarlatch/pkg/api"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
 const (
-	// refresh is the interval between two reads of the platform.
+	// refresh is the interval between two reads of the coordination.
 	refresh = time.Second
 	// attempts is how many replicas a part tries, each for an equal share of the deadline.
 	attempts = 2
@@ -38,8 +38,8 @@
 type Entry struct {
 	// share is the number of entry instances among which connections are divided.
 	share     int
-	store     *platform.Store
-	instances *platform.Instances
+	store     *coordination.Store
+	instances *coordination.Instances
 	view      atomic.Pointer[view]
 	next      atomic.Uint64
 	number    atomic.Uint64
@@ -56,9 +56,9 @@
 
 // New returns an entry instance, one of share.
 func New(store, instances string, share int) *Entry {
-	options := platform.Options{Timeout: time.Second, Random: rand.New(rand.NewPCG(1, 1))}
+	options := coordination.Options{Timeout: time.Second, Random: rand.New(rand.NewPCG(1, 1))}
 	return &Entry{
-		share: share, store: platform.NewStore(store, options), instances: platform.NewInstances(instances, options),
+		share: share, store: coordination.NewStore(store, options), instances: coordination.NewInstances(instances, options),
 		clients: make(map[fleet.ServerID]*http.Client),
 	}
 }
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -23,8 +23,8 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/httpapi"
-	"github.com/medlarlatch/medlarlatch/internal/platform"
 	"github.com/medlarlatch/medlarlatch/internal/standin"
 )
 
@@ -60,7 +60,7 @@
 	// Deadline replaces the deadlines of the example catalogues. A test that asks for whole answers on a busy machine
 	// needs a longer one; zero keeps them.
 	Deadline time.Duration
-	// Relays puts a link that can be cut on every way between entry instances and to the platform.
+	// Relays puts a link that can be cut on every way between entry instances and to the coordination.
 	Relays bool
 	// Logs receives what the processes write to standard error.
 	Logs io.Writer
@@ -74,7 +74,7 @@
 	applications map[string]standin.Application
 	addresses    Addresses
 	stand        *process
-	store        *platform.Store
+	store        *coordination.Store
 	editor       *configuration.Editor
 	directory    string
 	client       *http.Client
@@ -114,7 +114,7 @@
 		return c, err
 	}
 	random := rand.New(rand.NewPCG(options.Seed, 9))
-	c.store = platform.NewStore("http://"+c.addresses.Store, platform.Options{Timeout: time.Second, Random: random})
+	c.store = coordination.NewStore("http://"+c.addresses.Store, coordination.Options{Timeout: time.Second, Random: random})
 	c.editor = configuration.NewEditor(c.store, random)
 	if err := c.configure(ctx, applications); err != nil {
 		return c, err
@@ -219,14 +219,14 @@
 
 // list adds the entry instances to the instance list, which holds the backend servers already.
 func (c *Cluster) list(ctx context.Context) error {
-	var listed platform.InstanceList
+	var listed coordination.InstanceList
 	if err := c.call(ctx, http.MethodGet, "http://"+c.addresses.Instances+"/v1/instances", nil, &listed); err != nil {
 		return err
 	}
 	for _, e := range c.Entries {
-		listed.Instances = append(listed.Instances, platform.Instance{
-			ID: e.Name, Kind: platform.KindEntry, Zone: e.Zone, Region: "region-1", Peers: e.peers, Operators: e.operators,
-			State: platform.StateLive,
+		listed.Instances = append(listed.Instances, coordination.Instance{
+			ID: e.Name, Kind: coordination.KindEntry, Zone: e.Zone, Region: "region-1", Peers: e.peers, Operators: e.operators,
+			State: coordination.StateLive,
 		})
 	}
 	return c.call(ctx, http.MethodPut, "http://"+c.addresses.Instances+"/control/instances", listed, nil)
--- a/internal/standin/cluster/documents.go
+++ b/internal/standin/cluster/documents.go
@@ -6,7 +6,7 @@
 	"context"
 	"net/http"
 
-	"github.com/medlarlatch/medlarlatch/internal/platform"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 )
 
 // Document returns the text of a key of the store.
@@ -25,13 +25,13 @@
 }
 
 // Listed returns the lines of the instance list.
-func (c *Cluster) Listed(ctx context.Context) ([]platform.Instance, error) {
-	var listed platform.InstanceList
+func (c *Cluster) Listed(ctx context.Context) ([]coordination.Instance, error) {
+	var listed coordination.InstanceList
 	err := c.call(ctx, http.MethodGet, "http://"+c.addresses.Instances+"/v1/instances", nil, &listed)
 	return listed.Instances, err
 }
 
 // SetList replaces the lines of the instance list, whatever they are.
-func (c *Cluster) SetList(ctx context.Context, lines []platform.Instance) error {
-	return c.call(ctx, http.MethodPut, "http://"+c.addresses.Instances+"/control/instances", platform.InstanceList{Instances: lines}, nil)
+func (c *Cluster) SetList(ctx context.Context, lines []coordination.Instance) error {
+	return c.call(ctx, http.MethodPut, "http://"+c.addresses.Instances+"/control/instances", coordination.InstanceList{Instances: lines}, nil)
 }
--- a/internal/standin/cluster/network.go
+++ b/internal/standin/cluster/network.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/medlarlatch/medlarlatch/internal/platform"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/standin/relay"
 )
 
@@ -80,12 +80,12 @@
 
 // serveList passes the instance list on with the links to the peers in place of their addresses.
 func (c *Cluster) serveList(w http.ResponseWriter, r *http.Request, name, zone string) {
-	var listed platform.InstanceList
+	var listed coordination.InstanceList
 	if err := c.call(r.Context(), http.MethodGet, "http://"+c.addresses.Instances+"/v1/instances", nil, &listed); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	for n, line := range listed.Instances {
-		if line.Kind != platform.KindEntry || line.ID == name {
+		if line.Kind != coordination.KindEntry || line.ID == name {
 			continue
 		}
 		delay := zoneDelay
--- a/internal/standin/cluster/operate.go
+++ b/internal/standin/cluster/operate.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/medlarlatch/medlarlatch/internal/burn"
-	"github.com/medlarlatch/medlarlatch/internal/platform"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 )
 
 // Settings returns the settings file of an entry instance; operators' verbs find the platform by it.
@@ -15,7 +15,7 @@
 
 // SetListed changes the state that the instance list gives for an instance.
 func (c *Cluster) SetListed(ctx context.Context, id, state string) error {
-	var listed platform.InstanceList
+	var listed coordination.InstanceList
 	if err := c.call(ctx, "GET", "http://"+c.addresses.Instances+"/v1/instances", nil, &listed); err != nil {
 		return err
 	}
--- a/internal/standin/cluster/operators.go
+++ b/internal/standin/cluster/operators.go
@@ -9,11 +9,11 @@
 	"net/http"
 
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
-	"github.com/medlarlatch/medlarlatch/internal/platform"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/standin"
 )
 
-func writeList(w http.ResponseWriter, listed platform.InstanceList) {
+func writeList(w http.ResponseWriter, listed coordination.InstanceList) {
 	w.Header().Set("Content-Type", "application/json")
 	// The reader may have gone.
 	_ = json.NewEncoder(w).Encode(listed)
@@ -22,7 +22,7 @@
 // NewEditor returns an editor of its own, as each of several operators has.
 func (c *Cluster) NewEditor(seed uint64) *configuration.Editor {
 	random := rand.New(rand.NewPCG(c.Seed, seed))
-	return configuration.NewEditor(platform.NewStore("http://"+c.addresses.Store, platform.Options{Timeout: c.client.Timeout, Random: random}), random)
+	return configuration.NewEditor(coordination.NewStore("http://"+c.addresses.Store, coordination.Options{Timeout: c.client.Timeout, Random: random}), random)
 }
 
 // ListFaults replaces the faults of the instance list.
--- a/internal/standin/instances/instances.go
+++ b/internal/standin/instances/instances.go
@@ -16,7 +16,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/medlarlatch/medlarlatch/internal/platform"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 )
 
 // keptStates is the number of former states that are kept for answers that lag.
@@ -34,7 +34,7 @@
 
 type state struct {
 	since time.Time
-	list  []platform.Instance
+	list  []coordination.Instance
 }
 
 // List is an http.Handler with GET /v1/instances and a control endpoint under /control.
@@ -47,12 +47,12 @@
 }
 
 // New returns a list with these lines, which it shows at once whatever the lag is.
-func New(lines ...platform.Instance) *List {
+func New(lines ...coordination.Instance) *List {
 	l := &List{calls: make(map[string]uint64), mux: http.NewServeMux()}
 	l.states = []state{{list: slices.Clone(lines)}}
 	l.mux.HandleFunc("GET /v1/instances", l.get)
 	l.mux.HandleFunc("PUT /control/instances", func(reply http.ResponseWriter, request *http.Request) {
-		var list platform.InstanceList
+		var list coordination.InstanceList
 		if decode(reply, request, &list) {
 			l.Set(list.Instances...)
 			write(reply, list)
@@ -76,7 +76,7 @@
 }
 
 // Set replaces the lines.
-func (l *List) Set(lines ...platform.Instance) {
+func (l *List) Set(lines ...coordination.Instance) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.states = append(l.states, state{time.Now(), slices.Clone(lines)})
@@ -121,7 +121,7 @@
 		case <-timer.C:
 		}
 	}
-	body, err := json.Marshal(platform.InstanceList{Instances: l.visible()})
+	body, err := json.Marshal(coordination.InstanceList{Instances: l.visible()})
 	if err != nil {
 		http.Error(reply, err.Error(), http.StatusInternalServerError)
 		return
@@ -139,7 +139,7 @@
 	_, _ = reply.Write(body) // the caller may have gone
 }
 
-func (l *List) visible() []platform.Instance {
+func (l *List) visible() []coordination.Instance {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	until := time.Now().Add(-time.Duration(l.faults.LagMillis) * time.Millisecond)
--- a/internal/standin/program/badinput_test.go
+++ b/internal/standin/program/badinput_test.go
@@ -19,7 +19,7 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/catalogue"
 	"github.com/medlarlatch/medlarlatch/internal/configuration"
-	"github.com/medlarlatch/medlarlatch/internal/platform"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/standin/cluster"
 	"github.com/medlarlatch/medlarlatch/pkg/api"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
@@ -340,10 +340,10 @@
 	check.NoErr(err)
 	unknown := slices.Clone(good)
 	unknown[0].State = "lost"
-	for name, lines := range map[string][]platform.Instance{
+	for name, lines := range map[string][]coordination.Instance{
 		"id twice":      append(slices.Clone(good), good[0]),
 		"unknown state": unknown,
-		"empty line":    append(slices.Clone(good), platform.Instance{}),
+		"empty line":    append(slices.Clone(good), coordination.Instance{}),
 	} {
 		t.Run("list "+name, func(t *testing.T) {
 			check := is.New(t)
--- a/internal/standin/program/hosts.go
+++ b/internal/standin/program/hosts.go
@@ -11,8 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 	"github.com/medlarlatch/medlarlatch/internal/entry"
-	"github.com/medlarlatch/medlarlatch/internal/platform"
 	"github.com/medlarlatch/medlarlatch/internal/settings"
 	"github.com/medlarlatch/medlarlatch/internal/standin"
 	"github.com/medlarlatch/medlarlatch/internal/standin/cluster"
@@ -65,12 +65,12 @@
 	defer servers.Close()
 	addresses := cluster.Addresses{Control: servers.ControlAddress()}
 	if withPlatform {
-		lines := make([]platform.Instance, 0, len(servers.Servers()))
+		lines := make([]coordination.Instance, 0, len(servers.Servers()))
 		for _, server := range servers.Servers() {
 			options := server.Options()
-			lines = append(lines, platform.Instance{
-				ID: options.ID, Kind: platform.KindBackendServer, Zone: options.Zone, Region: "region-1",
-				Address: server.Address(), Service: options.Service, State: platform.StateLive,
+			lines = append(lines, coordination.Instance{
+				ID: options.ID, Kind: coordination.KindBackendServer, Zone: options.Zone, Region: "region-1",
+				Address: server.Address(), Service: options.Service, State: coordination.StateLive,
 			})
 		}
 		var closeStore, closeList func()
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"github.com/medlarlatch/medlarlatch/internal/platform"
+	"github.com/medlarlatch/medlarlatch/internal/coordination"
 )
 
 const (
@@ -48,7 +48,7 @@
 type Store struct {
 	mutex    sync.Mutex
 	revision uint64
-	history  map[string][]platform.Entry
+	history  map[string][]coordination.Entry
 	faults   Faults
 	calls    map[string]uint64
 	changed  chan struct{}
@@ -58,7 +58,7 @@
 // New returns an empty store without faults.
 func New() *Store {
 	s := &Store{
-		history: make(map[string][]platform.Entry), calls: make(map[string]uint64), changed: make(chan struct{}),
+		history: make(map[string][]coordination.Entry), calls: make(map[string]uint64), changed: make(chan struct{}),
 		mux: http.NewServeMux(),
 	}
 	s.mux.HandleFunc("GET /v1/kv/{key}", s.counted("get", s.get))
@@ -108,7 +108,7 @@
 }
 
 // Entry returns the current value of a key, whatever the faults; its revision is 0 if there is none.
-func (s *Store) Entry(key string) platform.Entry {
+func (s *Store) Entry(key string) coordination.Entry {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.at(key, s.revision)
@@ -133,19 +133,19 @@
 
 func (s *Store) append(key, value string) uint64 {
 	s.revision++
-	s.history[key] = append(s.history[key], platform.Entry{Key: key, Value: value, Revision: s.revision})
+	s.history[key] = append(s.history[key], coordination.Entry{Key: key, Value: value, Revision: s.revision})
 	s.wake()
 	return s.revision
 }
 
 // at returns a key as it was at a revision of the store.
-func (s *Store) at(key string, revision uint64) platform.Entry {
+func (s *Store) at(key string, revision uint64) coordination.Entry {
 	for _, entry := range slices.Backward(s.history[key]) {
 		if entry.Revision <= revision {
 			return entry
 		}
 	}
-	return platform.Entry{Key: key}
+	return coordination.Entry{Key: key}
 }
 
 // visible is the revision from which reads are answered.
@@ -213,9 +213,9 @@
 	case !answered:
 		panic(http.ErrAbortHandler)
 	case !swapped:
-		write(reply, http.StatusConflict, platform.Written{Revision: revision})
+		write(reply, http.StatusConflict, coordination.Written{Revision: revision})
 	default:
-		write(reply, http.StatusOK, platform.Written{Revision: revision})
+		write(reply, http.StatusOK, coordination.Written{Revision: revision})
 	}
 }
 
@@ -255,7 +255,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if len(entries) > 0 || last {
-			write(reply, http.StatusOK, platform.Changes{Entries: entries})
+			write(reply, http.StatusOK, coordination.Changes{Entries: entries})
 			return
 		}
 		select {
@@ -269,14 +269,14 @@
 }
 
 // above returns the keys with the prefix that changed after a revision, in the order of revisions.
-func (s *Store) above(prefix string, after uint64) []platform.Entry {
-	entries := []platform.Entry{}
+func (s *Store) above(prefix string, after uint64) []coordination.Entry {
+	entries := []coordination.Entry{}
 	for key := range s.history {
 		if entry := s.at(key, s.visible()); strings.HasPrefix(key, prefix) && entry.Revision > after {
 			entries = append(entries, entry)
 		}
 	}
-	slices.SortFunc(entries, func(a, b platform.Entry) int { return int(a.Revision) - int(b.Revision) })
+	slices.SortFunc(entries, func(a, b coordination.Entry) int { return int(a.Revision) - int(b.Revision) })
 	size := 0
 	for i, entry := range entries {
 		if size += len(entry.Value); size > maxWatchBytes && i > 0 {
