--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -23,7 +23,9 @@
 	ID      fleet.ServerID  `json:"id"`
 	Service fleet.ServiceID `json:"service"`
 	Zone    fleet.ZoneID    `json:"zone"`
-	Address string          `json:"address"`
+	// Region is that of the zone; empty if the zone is not known.
+	Region  fleet.RegionID `json:"region"`
+	Address string         `json:"address"`
 	// Slots is the number of requests that the replica processes at a time.
 	Slots int `json:"slots"`
 	// Draining replicas get no new request.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -52,10 +52,9 @@
 	// firstRetry doubles after each failure up to longestRetry. Calls are paid for also while the store refuses them.
 	firstRetry   = 100 * time.Millisecond
 	longestRetry = time.Second
-	// lapseAfter is the time without a word of the store, from any instance, after which registrations may have lapsed. A
-	// replica lapses after three heartbeats of 1.2 s; where the store only refuses this instance, peers have heard it up
-	// to a pause, a call and a retry ago.
-	lapseAfter = 3200 * time.Millisecond
+	// lapseMargin shortens the time after which registrations may have lapsed: where the store only refuses this instance,
+	// peers have heard it up to a pause, a call and a retry ago.
+	lapseMargin = 400 * time.Millisecond
 )
 
 // Options are what a Follower is made of.
@@ -64,7 +63,9 @@
 	Source Source
 	Peers  Peers
 	// Pause is the time between two calls to the store.
-	Pause   time.Duration
+	Pause time.Duration
+	// Lapse is the time without a heartbeat after which the store drops a registration.
+	Lapse   time.Duration
 	Random  *rand.Rand
 	Publish func(*directory.View)
 }
@@ -277,7 +278,7 @@
 	if f.failures > 0 {
 		f.journal.mutex.Lock()
 		away := now.Sub(f.journal.heard)
-		if away > lapseAfter {
+		if away > f.Lapse-lapseMargin {
 			f.journal.state.Restored(now)
 		}
 		f.journal.mutex.Unlock()
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -17,7 +17,10 @@
 	"github.com/medlarlatch/medlarlatch/internal/routing"
 )
 
-const pause = time.Second
+const (
+	pause     = time.Second
+	heartbeat = 1200 * time.Millisecond // of replicas
+)
 
 var errDown = errors.New("down")
 
@@ -191,7 +194,7 @@
 func (i *instances) start(ctx context.Context, self directory.Instance, s *store) {
 	l := &link{store: s}
 	f := New(Options{
-		Self: self, Source: l, Peers: i, Pause: pause, Random: rand.New(rand.NewPCG(1, uint64(len(self.ID)))),
+		Self: self, Source: l, Peers: i, Pause: pause, Lapse: 3 * heartbeat, Random: rand.New(rand.NewPCG(1, uint64(len(self.ID)))),
 		Publish: func(v *directory.View) {
 			i.mutex.Lock()
 			defer i.mutex.Unlock()
--- a/internal/lookup/compose.go
+++ b/internal/lookup/compose.go
@@ -34,7 +34,7 @@
 		if p.answer != nil || p.failed {
 			continue
 		}
-		if p.sound(now) || f.engine.answers(current.groups[p.service], now) {
+		if p.sound(now) || f.engine.answers(f.request.Route, current.groups[p.service], now) {
 			hopeful++
 		}
 	}
@@ -98,10 +98,11 @@
 	return result
 }
 
+// missed counts the shards without an answer by reason. A request that was refused before anything was sent misses none.
 func (f *fanout) missed() {
 	f.trace.Answered = f.answered
 	for i := range f.parts {
-		if p := &f.parts[i]; p.answer == nil {
+		if p := &f.parts[i]; p.answer == nil && (p.failed || len(p.attempts) > 0) {
 			if f.trace.Missed == nil {
 				f.trace.Missed = make(map[verdict.Reason]int)
 			}
--- a/internal/lookup/fake_test.go
+++ b/internal/lookup/fake_test.go
@@ -151,7 +151,7 @@
 			id := fleet.ServerID(string(service) + "-" + string(zone))
 			if skip == nil || !skip(id) {
 				v.Replicas[service] = append(v.Replicas[service], directory.Replica{
-					ID: id, Service: service, Zone: zone, Address: string(id), Slots: 2, Born: 1,
+					ID: id, Service: service, Zone: zone, Region: "region-" + fleet.RegionID(zone), Address: string(id), Slots: 2, Born: 1,
 				})
 			}
 		}
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -117,7 +117,7 @@
 			g.extra.request(now, f.engine.share(now))
 		}
 	}
-	likely := f.engine.likely(current, f.request.Route.Shards, now)
+	likely := f.engine.likely(current, f.request.Route, now)
 	if likely >= f.floor || !f.engine.Isolated() && f.engine.mayTry(now) {
 		return nil
 	}
@@ -135,7 +135,7 @@
 	p := &f.parts[i]
 	p.service = f.request.Route.Shards[i]
 	p.attempts, p.tried = p.attemptRoom[:0], p.triedRoom[:0]
-	chosen, g := f.engine.choose(p.service, nil, false, f.expected, now)
+	chosen, g := f.engine.choose(f.request.Route, p.service, nil, false, f.expected, now)
 	if chosen == nil {
 		f.fail(p, verdict.NoReplica)
 		return
@@ -212,7 +212,7 @@
 		f.fail(p, p.reason)
 		return
 	}
-	chosen, g := f.engine.choose(p.service, p.tried, false, f.expected, now)
+	chosen, g := f.engine.choose(f.request.Route, p.service, p.tried, false, f.expected, now)
 	if chosen == nil {
 		if g == nil || p.mayRun > 0 {
 			f.fail(p, p.reason)
@@ -285,7 +285,7 @@
 
 func (f *fanout) hedge(i int, now time.Time) {
 	p := &f.parts[i]
-	chosen, g := f.engine.choose(p.service, p.tried, true, f.expected, now)
+	chosen, g := f.engine.choose(f.request.Route, p.service, p.tried, true, f.expected, now)
 	if chosen == nil {
 		return
 	}
--- a/internal/lookup/fanout_test.go
+++ b/internal/lookup/fanout_test.go
@@ -126,6 +126,7 @@
 		for _, result := range s.load(s.fan, 10*time.Millisecond, time.Second) {
 			if result.Failure != nil && result.Failure.Verdict == verdict.NotRun && result.took == 0 {
 				is.Equal(result.Failure.Reason, verdict.NoReplica)
+				is.Equal(len(result.Trace.Missed), 0) // nothing was asked
 				is.True(result.Failure.RetryAfter > 0)
 				refused++
 			}
--- a/internal/lookup/load.go
+++ b/internal/lookup/load.go
@@ -137,12 +137,12 @@
 	l.suspect = now.Add(min(firstSuspicion<<min(l.silent-1, 10), longestSuspicion))
 }
 
-// ageOf returns how long ago something was, for the log; -1 if never.
-func ageOf(at, now time.Time) time.Duration {
+// ageOf returns how long ago something was, for the log.
+func ageOf(at, now time.Time) string {
 	if at.IsZero() {
-		return -1
+		return "never"
 	}
-	return now.Sub(at)
+	return now.Sub(at).Round(time.Millisecond).String()
 }
 
 func (l *load) observe(now time.Time, elapsed, expected time.Duration) {
--- a/internal/lookup/plan.go
+++ b/internal/lookup/plan.go
@@ -113,15 +113,16 @@
 	return known
 }
 
-// choose returns the replica of the service that costs least, or nil. Those in tried are left out. With likely only a
-// replica that is expected to answer is returned. A cold replica is taken only within its rate.
-func (e *Engine) choose(id fleet.ServiceID, tried []*load, likely bool, expected time.Duration, now time.Time) (*member, *group) {
+// choose returns the replica of the service that costs least, or nil. Those in tried and those in regions that the route
+// does not allow are left out. With likely only a replica that is expected to answer is returned. A cold replica is taken
+// only within its rate.
+func (e *Engine) choose(route *routing.Route, id fleet.ServiceID, tried []*load, likely bool, expected time.Duration, now time.Time) (*member, *group) {
 	g := e.plan.Load().groups[id]
 	if g == nil || len(g.members) == 0 {
 		return nil, g
 	}
 	for {
-		best := e.cheapest(g, tried, likely, expected, now)
+		best := e.cheapest(route, g, tried, likely, expected, now)
 		if best == nil {
 			return nil, g
 		}
@@ -132,14 +133,14 @@
 	}
 }
 
-func (e *Engine) cheapest(g *group, tried []*load, likely bool, expected time.Duration, now time.Time) *member {
+func (e *Engine) cheapest(route *routing.Route, g *group, tried []*load, likely bool, expected time.Duration, now time.Time) *member {
 	var best *member
 	var least time.Duration
 	connections := e.connections(g)
 	start := int(e.draw.Add(1) * 0x9e3779b97f4a7c15 >> 33 % uint64(len(g.members)))
 	for i := range g.members {
 		m := &g.members[(start+i)%len(g.members)]
-		if slices.Contains(tried, m.load) {
+		if slices.Contains(tried, m.load) || !route.Allows(m.Region) {
 			continue
 		}
 		may, expectedToAnswer := m.load.usable(now, connections)
--- a/internal/lookup/reach.go
+++ b/internal/lookup/reach.go
@@ -9,6 +9,7 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/directory"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/routing"
 )
 
 const (
@@ -83,8 +84,13 @@
 		}
 	}
 	for id := range r.cut {
-		if !cut[id] {
-			klog.InfoS("Zone reached again", "zone", id, "silent-replicas", remote[id].silent)
+		zone, listed := remote[id]
+		switch {
+		case cut[id]:
+		case listed:
+			klog.InfoS("Zone reached again", "zone", id, "silent-replicas", zone.silent)
+		default:
+			klog.InfoS("Zone without replicas", "zone", id)
 		}
 	}
 	r.cut = cut
@@ -224,31 +230,31 @@
 		return true
 	}
 	for _, route := range current.table.Routes() {
-		if len(route.Shards) > 0 && e.likely(current, route.Shards, now) < floorOf(route) {
+		if len(route.Shards) > 0 && e.likely(current, route, now) < floorOf(route) {
 			return false
 		}
 	}
 	return true
 }
 
-// likely returns the number of services with a replica that is expected to answer.
-func (e *Engine) likely(current *plan, services []fleet.ServiceID, now time.Time) int {
+// likely returns the number of the route's shards with a replica that is expected to answer.
+func (e *Engine) likely(current *plan, route *routing.Route, now time.Time) int {
 	count := 0
-	for _, service := range services {
-		if e.answers(current.groups[service], now) {
+	for _, service := range route.Shards {
+		if e.answers(route, current.groups[service], now) {
 			count++
 		}
 	}
 	return count
 }
 
-// answers tells whether a replica of the group is expected to answer; the group may be nil.
-func (*Engine) answers(g *group, now time.Time) bool {
+// answers tells whether a replica of the group that the route allows is expected to answer; the group may be nil.
+func (*Engine) answers(route *routing.Route, g *group, now time.Time) bool {
 	if g == nil {
 		return false
 	}
 	for i := range g.members {
-		if !g.members[i].load.silentNow(now) {
+		if route.Allows(g.members[i].Region) && !g.members[i].load.silentNow(now) {
 			return true
 		}
 	}
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -47,7 +47,7 @@
 
 func (s *single) run() Result {
 	now := time.Now()
-	chosen, g := s.engine.choose(s.part.service, nil, false, s.expected, now)
+	chosen, g := s.engine.choose(s.request.Route, s.part.service, nil, false, s.expected, now)
 	if chosen == nil {
 		return s.refuse(verdict.New(verdict.NotRun, verdict.NoReplica, "service %s has no replica", s.part.service).WithRetryAfter(retryAfter))
 	}
@@ -132,7 +132,7 @@
 	if s.ran && !route.Idempotent || s.part.mayRun >= attempts || len(s.part.attempts) >= attempts+extraSends {
 		return s.fail(), true
 	}
-	chosen, g := s.engine.choose(s.part.service, s.part.tried, false, s.expected, now)
+	chosen, g := s.engine.choose(s.request.Route, s.part.service, s.part.tried, false, s.expected, now)
 	if chosen == nil {
 		if g == nil || s.ran || len(s.part.tried) == 0 {
 			return s.fail(), true
@@ -197,7 +197,7 @@
 	}
 	last := s.part.attempts[len(s.part.attempts)-1]
 	last.hedge = true // one try; without room for it the request waits for its first send
-	chosen, g := s.engine.choose(s.part.service, s.part.tried, true, s.expected, now)
+	chosen, g := s.engine.choose(s.request.Route, s.part.service, s.part.tried, true, s.expected, now)
 	if chosen == nil || !g.extra.take(now, s.engine.share(now)) {
 		return Result{}, false
 	}
--- a/internal/lookup/single_test.go
+++ b/internal/lookup/single_test.go
@@ -1,12 +1,14 @@
 package lookup
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/routing"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
@@ -130,3 +132,45 @@
 		is.True(within(sent, first, first+time.Second) <= rate)
 	}
 }
+
+// TestRegions guards against a request that leaves the regions its route allows: at the first send, when the replica there
+// fails or pauses, and when a shard has no replica there.
+func TestRegions(t *testing.T) {
+	for name, behave := range map[string]func(id fleet.ServerID, now time.Time) behaviour{
+		"all well": func(fleet.ServerID, time.Time) behaviour { return good(work) },
+		"one fails": func(id fleet.ServerID, _ time.Time) behaviour {
+			return map[bool]behaviour{true: failing(), false: good(work)}[id == "s0-a"]
+		},
+		"one pauses": func(id fleet.ServerID, _ time.Time) behaviour {
+			return behaviour{silent: id == "s0-a", delay: work, outcome: good(work).outcome}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newStage(t, behave)
+				s.fan.Regions, s.one.Regions = []fleet.RegionID{"region-a"}, []fleet.RegionID{"region-a"}
+				s.load(s.fan, 50*time.Millisecond, time.Second)
+				s.load(s.one, 50*time.Millisecond, time.Second)
+				is.True(s.total() > 0)
+				for _, id := range s.all {
+					is.True(strings.HasSuffix(string(id), "-a"))
+				}
+			})
+		})
+	}
+	t.Run("no replica there", func(t *testing.T) {
+		inBubble(t, func(t *testing.T) {
+			is := is.New(t)
+			s := newStage(t, func(fleet.ServerID, time.Time) behaviour { return good(work) })
+			s.fan.Regions, s.one.Regions = []fleet.RegionID{"region-c"}, []fleet.RegionID{"region-c"}
+			for _, route := range []*routing.Route{s.fan, s.one} {
+				result := s.run(route)
+				is.True(result.Failure != nil)
+				is.Equal(result.Failure.Verdict, verdict.NotRun)
+				is.True(result.Failure.RetryAfter > 0)
+			}
+			is.Equal(s.total(), 0)
+		})
+	})
+}
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -27,9 +27,9 @@
 }
 
 const (
-	// Lasting is how long an entry outlives the last renewal. The count of instances may be too high for that long,
-	// which only leaves shares unused.
-	Lasting = 10 * time.Second
+	// lasting is how long an entry outlives the last renewal, unless the store's shortest lease is longer. The count of
+	// instances may be too high for that long, which only leaves shares unused.
+	lasting = 10 * time.Second
 	// renewInterval lets two renewals in a row be lost.
 	renewInterval = 3 * time.Second
 	// retryInterval is the pause after a failed call.
@@ -42,13 +42,15 @@
 type Keeper struct {
 	registry Registry
 	random   *rand.Rand
+	lasting  time.Duration
 	lease    uint64
 	put      bool
 }
 
-// New returns a keeper; the random source spreads the calls of instances that start together.
-func New(registry Registry, random *rand.Rand) *Keeper {
-	return &Keeper{registry: registry, random: random}
+// New returns a keeper before a store that grants leases of at least the given time; the random source spreads the calls of
+// instances that start together.
+func New(registry Registry, shortest time.Duration, random *rand.Rand) *Keeper {
+	return &Keeper{registry: registry, lasting: max(lasting, shortest), random: random}
 }
 
 // Run keeps the entry until ctx ends.
@@ -73,7 +75,7 @@
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if k.lease == 0 {
-		lease, err := k.registry.Grant(bounded, Lasting)
+		lease, err := k.registry.Grant(bounded, k.lasting)
 		if err != nil {
 			return err
 		}
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -61,7 +61,7 @@
 	}
 	r.listed = r.listed || put
 	if !put {
-		r.ends = time.Now().Add(Lasting)
+		r.ends = time.Now().Add(lasting)
 	}
 	return nil
 }
@@ -82,7 +82,7 @@
 		is := is.New(t)
 		r := &registry{}
 		ctx, stop := context.WithCancel(t.Context())
-		go New(r, rand.New(rand.NewPCG(1, 1))).Run(ctx)
+		go New(r, time.Second, rand.New(rand.NewPCG(1, 1))).Run(ctx)
 		for range 30 {
 			time.Sleep(4 * time.Second)
 			listed, _ := r.now()
@@ -93,7 +93,7 @@
 		r.mutex.Lock()
 		r.down = true
 		r.mutex.Unlock()
-		time.Sleep(2 * Lasting)
+		time.Sleep(2 * lasting)
 		listed, _ := r.now()
 		is.True(!listed)
 		r.mutex.Lock()
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -33,6 +33,8 @@
 	Priority int `json:"priority"`
 	// Attempts is the largest number of replicas that may get one request, for each shard.
 	Attempts int `json:"attempts"`
+	// Regions are those whose replicas may get the route's requests; empty for all.
+	Regions []fleet.RegionID `json:"regions"`
 	// Shares are the services that share the requests of a route without shards.
 	Shares []Share `json:"shares"`
 	// Shards are the services that each hold a part of the index; empty for a route to one replica.
@@ -45,6 +47,11 @@
 	spread spread
 }
 
+// Allows tells whether a replica in the region may get the route's requests.
+func (r *Route) Allows(region fleet.RegionID) bool {
+	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
+}
+
 // Share is one service of a route with its weight.
 type Share struct {
 	Service fleet.ServiceID `json:"service"`
