--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 # The soak of entry instances on a stand-in of the users' platform, as real processes, for a range of seeds.
 SOAK_SEEDS ?= 100-119
 soak-platform:
-	SOAK_SEEDS=$(SOAK_SEEDS) $(GO) test -count=1 -v -timeout 60m ./platform/soak
+	SOAK_SEEDS=$(SOAK_SEEDS) $(GO) test -count=1 -v -parallel 3 -timeout 60m ./platform/soak
 
 # medlarlatch beside the baseline as separate processes, about 3 minutes; writes docs/plots.
 bench-system: build
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -29,7 +29,7 @@
 // Link is the way from one process to one address of another.
 type Link struct {
 	target   string
-	delay    time.Duration
+	delay    atomic.Int64 // nanoseconds
 	listener net.Listener
 	// out is the direction from the dialling process, back the other.
 	out, back atomic.Int32
@@ -45,7 +45,8 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{target: target, delay: delay, listener: listening, open: make(map[net.Conn]bool), closed: make(chan struct{})}
+	l := &Link{target: target, listener: listening, open: make(map[net.Conn]bool), closed: make(chan struct{})}
+	l.SetDelay(delay)
 	go l.accept()
 	return l, nil
 }
@@ -59,6 +60,21 @@
 	l.back.Store(int32(back))
 }
 
+// SetDelay changes the delay of bytes that come from now on.
+func (l *Link) SetDelay(delay time.Duration) { l.delay.Store(int64(delay)) }
+
+// Reset resets the connections that are open now.
+func (l *Link) Reset() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for connection := range l.open {
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // a connection that has ended needs no reset
+		}
+		_ = connection.Close()
+	}
+}
+
 // Close ends the link and its connections.
 func (l *Link) Close() {
 	_ = l.listener.Close()
@@ -157,7 +173,7 @@
 			count, err := from.Read(buffer)
 			if count > 0 {
 				select {
-				case in.chunks <- chunk{buffer[:count], time.Now().Add(l.delay)}:
+				case in.chunks <- chunk{buffer[:count], time.Now().Add(time.Duration(l.delay.Load()))}:
 				case <-l.closed:
 					return
 				}
