Wake readers of the fleet after its new view is there

Cause: TestNoContactWithServersOut failed once beside load (a package run of internal/entry; by its time, a wait of 30 s that began in its fourth second). Sixteen runs beside each other with the race detector repeat it: 5 of 64, "leaving has no connection". members.replace woke the goroutine that passes changes on before it stored the reachability, so that it passed the former view on and nothing woke it again: the server that leaves kept its idle connections, and the engine its entry, until the next change. Change: the view is stored first.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -48,14 +48,17 @@
 }
 
 // replace stores the table before the reachability: an instance that was fenced must not find itself fresh while
-// the table still has the claims from before.
+// the table still has the claims from before. Readers are woken after both, or they would pass the former view on and
+// never hear of the new one.
 func (m *members) replace(change fleet.Change) {
 	reach := m.membership.Reachability()
 	if !change.Empty() {
 		m.table.Store(m.table.Load().With(reach, change, m.limits))
-		m.notify()
 	}
 	m.reach.Store(reach)
+	if !change.Empty() {
+		m.notify()
+	}
 }
 
 // adopt applies a new catalogue: what operators have taken out, and the limits that differ. Readers of the table
