Let parts wait for a connection where few connections bind

Change: such a part is tried again every 15 ms while an instance has fewer connections to a replica than twice its slots; a request to one replica waits for a fifth of its objective. A group without a replica in a route's regions counts as none.

--- a/internal/lookup/compose.go
+++ b/internal/lookup/compose.go
@@ -103,7 +103,7 @@
 func (f *fanout) missed() {
 	f.trace.Answered = f.answered
 	for i := range f.parts {
-		if p := &f.parts[i]; p.answer == nil && (p.failed || len(p.attempts) > 0) {
+		if p := &f.parts[i]; p.answer == nil && (p.reason != verdict.None || len(p.attempts) > 0) {
 			if f.trace.Missed == nil {
 				f.trace.Missed = make(map[verdict.Reason]int)
 			}
--- a/internal/lookup/fake_test.go
+++ b/internal/lookup/fake_test.go
@@ -111,16 +111,17 @@
 // stage is an engine in zone a before shards with one replica in zone a and one in zone b, named like s3-a.
 type stage struct {
 	*backends
-	engine *Engine
-	fan    *routing.Route
-	one    *routing.Route
-	next   int
+	connections int // of each replica, from all instances together
+	engine      *Engine
+	fan         *routing.Route
+	one         *routing.Route
+	next        int
 }
 
 func newStage(t *testing.T, behave func(id fleet.ServerID, now time.Time) behaviour) *stage {
 	t.Helper()
 	b := &backends{behave: behave, sends: make(map[fleet.ServerID]int)}
-	s := &stage{backends: b}
+	s := &stage{backends: b, connections: 60}
 	s.engine = New(Options{
 		Zone: "a", Sender: b, Extra: allowed, Random: rand.New(rand.NewPCG(1, 2)),
 	})
@@ -146,7 +147,7 @@
 	var services []routing.Service
 	for i := range shards {
 		service := serviceOf(i)
-		services = append(services, routing.Service{ID: service, Connections: 60})
+		services = append(services, routing.Service{ID: service, Connections: s.connections})
 		for _, zone := range []fleet.ZoneID{"a", "b"} {
 			id := fleet.ServerID(string(service) + "-" + string(zone))
 			if skip == nil || !skip(id) {
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -136,9 +136,17 @@
 	p.service = f.request.Route.Shards[i]
 	p.attempts, p.tried = p.attemptRoom[:0], p.triedRoom[:0]
 	chosen, g := f.engine.choose(f.request.Route, p.service, nil, false, f.expected, now)
-	if chosen == nil {
+	switch {
+	case g == nil:
 		f.fail(p, verdict.NoReplica)
 		return
+	case chosen == nil && !f.engine.worthWaiting(g):
+		f.fail(p, verdict.Overloaded)
+		return
+	case chosen == nil:
+		p.reason = verdict.Overloaded
+		p.retryAt = now.Add(rejectedPause)
+		return
 	}
 	f.send(i, chosen, g, false, nil, now)
 }
@@ -228,8 +236,10 @@
 		f.fail(p, p.reason)
 		return
 	}
-	f.trace.Retries++
-	f.engine.counters.Retries.Add(1)
+	if len(p.attempts) > 0 {
+		f.trace.Retries++
+		f.engine.counters.Retries.Add(1)
+	}
 	f.send(i, chosen, g, false, paid, now)
 }
 
--- a/internal/lookup/gate_test.go
+++ b/internal/lookup/gate_test.go
@@ -124,6 +124,41 @@
 	})
 }
 
+// TestConnectionsInUse replays a load that the replicas can serve but that meets now and then all connections of a replica in
+// use, as with few connections for many instances. It guards against a part or a request that fails instead of waiting for a
+// moment, and against one that is held for long.
+func TestConnectionsInUse(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStage(t, nil)
+		s.engine.sender = &queueing{slots: make(map[fleet.ServerID]chan struct{}), random: rand.New(rand.NewPCG(3, 4))}
+		s.connections = 10 // two for each of the four instances
+		s.update(nil)
+		const capacity = 200 // requests a second: two replicas of two slots, 20 ms each
+		all := s.load(s.fan, time.Second*10/(6*capacity), 3*time.Second)
+		whole := 0
+		for _, result := range all {
+			is.True(result.Failure == nil)
+			if result.Missing == 0 && result.took <= objective {
+				whole++
+			}
+		}
+		is.True(float64(whole) > 0.9*float64(len(all)))
+		all = s.load(s.one, time.Second/(4*capacity), 3*time.Second)
+		served := 0
+		for _, result := range all {
+			if result.Failure == nil {
+				served++
+				continue
+			}
+			is.Equal(result.Failure.Reason, verdict.Overloaded)
+			is.Equal(result.Failure.Verdict, verdict.NotRun)
+			is.True(result.took <= objective/4)
+		}
+		is.True(served > len(all)/5) // four times what the replicas can do
+	})
+}
+
 // TestGateKeepsItsCount guards against places that are lost when a request gives up at the moment when one is given to it.
 func TestGateKeepsItsCount(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
--- a/internal/lookup/plan.go
+++ b/internal/lookup/plan.go
@@ -113,13 +113,19 @@
 	return known
 }
 
-// choose returns the replica of the service that costs least, or nil. Those in tried and those in regions that the route
+// serves tells whether the group has a replica that the route allows; the group may be nil.
+func (g *group) serves(route *routing.Route) bool {
+	return g != nil && slices.ContainsFunc(g.members, func(m member) bool { return route.Allows(m.Region) })
+}
+
+// choose returns the replica of the service that costs least, or nil, and its group, or nil if no replica may serve
+// the route. Those in tried and those in regions that the route
 // does not allow are left out. With likely only a replica that is expected to answer is returned. A cold replica is taken
 // only within its rate.
 func (e *Engine) choose(route *routing.Route, id fleet.ServiceID, tried []*load, likely bool, expected time.Duration, now time.Time) (*member, *group) {
 	g := e.plan.Load().groups[id]
-	if g == nil || len(g.members) == 0 {
-		return nil, g
+	if !g.serves(route) {
+		return nil, nil
 	}
 	for {
 		best := e.cheapest(route, g, tried, likely, expected, now)
@@ -163,5 +169,18 @@
 	return max(leastConnections, g.service.Connections*4/(5*e.Instances()))
 }
 
+// worthWaiting tells whether a request should wait for a connection to the group's replicas: this instance has too few of
+// them for the replicas' slots. With more, their queues are full of its own requests, and waiting gains nothing.
+func (e *Engine) worthWaiting(g *group) bool {
+	slots := 0
+	for i := range g.members {
+		slots = max(slots, g.members[i].Slots)
+	}
+	return e.connections(g) < queueFactor*slots
+}
+
+// queueFactor is the number of requests for each slot of a replica from which a further one waits for longer than it runs.
+const queueFactor = 2
+
 // leastConnections is the least number of connections to a replica.
 const leastConnections = 2
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -48,11 +48,16 @@
 func (s *single) run() Result {
 	now := time.Now()
 	chosen, g := s.engine.choose(s.request.Route, s.part.service, nil, false, s.expected, now)
-	if chosen == nil {
+	if g == nil {
 		return s.refuse(verdict.New(verdict.NotRun, verdict.NoReplica, "service %s has no replica", s.part.service).WithRetryAfter(retryAfter))
 	}
 	g.extra.request(now, s.engine.share(now))
-	s.send(chosen, g, false, nil, now)
+	if chosen != nil {
+		s.send(chosen, g, false, nil, now)
+	} else { // all connections are in use, or the replicas are cold
+		s.part.reason = verdict.Overloaded
+		s.part.retryAt = now.Add(rejectedPause)
+	}
 	timer := time.NewTimer(s.untilNext(now))
 	defer timer.Stop()
 	for {
@@ -134,7 +139,7 @@
 	}
 	chosen, g := s.engine.choose(s.request.Route, s.part.service, s.part.tried, false, s.expected, now)
 	if chosen == nil {
-		if g == nil || s.ran || len(s.part.tried) == 0 {
+		if g == nil || s.ran || len(s.part.attempts) == 0 && now.Add(rejectedPause).Sub(s.request.Arrived) > s.longestWait() {
 			return s.fail(), true
 		}
 		s.part.tried = s.part.tried[:0]
@@ -150,12 +155,20 @@
 		s.engine.counters.Starved.Add(1)
 		return s.fail(), true
 	}
-	s.trace.Retries++
-	s.engine.counters.Retries.Add(1)
+	if len(s.part.attempts) > 0 {
+		s.trace.Retries++
+		s.engine.counters.Retries.Add(1)
+	}
 	s.send(chosen, g, false, paid, now)
 	return Result{}, false
 }
 
+// longestWait is how long the request waits for a replica that takes it at all: a caller that is refused soon can be served
+// elsewhere in time.
+func (s *single) longestWait() time.Duration {
+	return time.Duration(waitShare * float64(s.request.Route.Objective))
+}
+
 // fail passes the replica's own failure on, or refuses.
 func (s *single) fail() Result {
 	if s.last != nil {
