--- a/internal/httpapi/limited_test.go
+++ b/internal/httpapi/limited_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -139,10 +140,13 @@
 func TestLimitedShutdown(t *testing.T) {
 	is := is.New(t)
 	started := make(chan struct{}, 2)
+	var answered, slow atomic.Int64
+	slow.Store(int64(300 * time.Millisecond)) // the first request, which has the former limits
 	server, address, ended := startLimited(t, Limits{IdleTimeout: time.Minute}, func(w http.ResponseWriter, r *http.Request) {
 		started <- struct{}{}
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(time.Duration(slow.Swap(0)))
 		answering(w, r)
+		answered.Add(1)
 	})
 	got := make(chan error, 2)
 	ask := func() {
@@ -159,6 +163,7 @@
 	bounded, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	is.NoErr(server.Shutdown(bounded))
+	is.Equal(answered.Load(), int64(2))
 	is.NoErr(<-got)
 	is.NoErr(<-got)
 	is.Equal(<-ended, http.ErrServerClosed)
--- a/internal/lookup/single_test.go
+++ b/internal/lookup/single_test.go
@@ -170,6 +170,8 @@
 				is.Equal(result.Failure.Verdict, verdict.NotRun)
 				is.True(result.Failure.RetryAfter > 0)
 			}
+			// The first one was let through to find out.
+			is.Equal(s.run(s.fan).Failure.Reason, verdict.NoReplica)
 			is.Equal(s.total(), 0)
 		})
 	})
