Do not hold a request that no replica takes

Cause: found in reading; since parts wait for a connection, a request to one replica that was rejected, and for which no other may be asked, was tried every 15 ms until its deadline. Change: it is refused once nothing may be asked and the wait for a connection is over. Test: TestNoReplicaTakesIt; it fails on the code before.

--- a/internal/lookup/plan.go
+++ b/internal/lookup/plan.go
@@ -118,10 +118,9 @@
 	return g != nil && slices.ContainsFunc(g.members, func(m member) bool { return route.Allows(m.Region) })
 }
 
-// choose returns the replica of the service that costs least, or nil, and its group, or nil if no replica may serve
-// the route. Those in tried and those in regions that the route
-// does not allow are left out. With likely only a replica that is expected to answer is returned. A cold replica is taken
-// only within its rate.
+// choose returns the replica of the service that costs least, or nil, and its group, or nil if no replica may serve the
+// route. Replicas in tried and in regions that the route does not allow are left out. With likely only a replica that is
+// expected to answer is returned. A cold replica is taken only within its rate.
 func (e *Engine) choose(route *routing.Route, id fleet.ServiceID, tried []*load, likely bool, expected time.Duration, now time.Time) (*member, *group) {
 	g := e.plan.Load().groups[id]
 	if !g.serves(route) {
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -139,7 +139,7 @@
 	}
 	chosen, g := s.engine.choose(s.request.Route, s.part.service, s.part.tried, false, s.expected, now)
 	if chosen == nil {
-		if g == nil || s.ran || len(s.part.attempts) == 0 && now.Add(rejectedPause).Sub(s.request.Arrived) > s.longestWait() {
+		if g == nil || s.ran || len(s.part.tried) == 0 && now.Add(rejectedPause).Sub(s.request.Arrived) > s.longestWait() {
 			return s.fail(), true
 		}
 		s.part.tried = s.part.tried[:0]
--- a/internal/lookup/single_test.go
+++ b/internal/lookup/single_test.go
@@ -1,6 +1,7 @@
 package lookup
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -112,6 +113,22 @@
 	})
 }
 
+// TestNoReplicaTakesIt guards against a request that is held until its deadline because one replica rejected it and no other
+// may be asked.
+func TestNoReplicaTakesIt(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStage(t, func(fleet.ServerID, time.Time) behaviour {
+			return behaviour{outcome: Outcome{Verdict: verdict.NotRun, Reason: verdict.Misdirected, Status: http.StatusMisdirectedRequest}}
+		})
+		began := time.Now()
+		result := s.run(s.one)
+		is.True(result.Failure != nil)
+		is.Equal(result.Failure.Verdict, verdict.NotRun)
+		is.True(time.Since(began) <= objective/4)
+	})
+}
+
 // TestColdRate guards against cold replicas that get more requests in some second than they bear, summed over all
 // instances.
 func TestColdRate(t *testing.T) {
