Forget former limits of callers that no connection has

Cause: found in reading; limits that were replaced while they had no connection were kept for ever, among them those of each start. Change: connections are counted under the server's lock, and former limits are kept while they have some. Test: TestLimitsChange; without the check (on a copy) it fails.

--- a/internal/httpapi/limited.go
+++ b/internal/httpapi/limited.go
@@ -39,9 +39,10 @@
 
 // generation is the server of all connections with the same limits.
 type generation struct {
-	server      *http.Server
-	queue       *connectionQueue
-	connections atomic.Int64
+	server *http.Server
+	queue  *connectionQueue
+	// connections are those that are open; the mutex of the LimitedServer guards it.
+	connections int
 	// replaced is set once there are newer limits.
 	replaced atomic.Bool
 }
@@ -69,16 +70,29 @@
 	return g
 }
 
+// count keeps a former generation for as long as it has connections.
 func (s *LimitedServer) count(g *generation, state http.ConnState) {
+	change := 0
 	switch state {
 	case http.StateNew:
-		g.connections.Add(1)
+		change = 1
 	case http.StateClosed, http.StateHijacked:
-		if g.connections.Add(-1) == 0 && g.replaced.Load() {
-			s.mutex.Lock()
-			defer s.mutex.Unlock()
-			delete(s.former, g)
-		}
+		change = -1
+	default:
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	g.connections += change
+	s.keepFormer(g)
+}
+
+// keepFormer is called with the lock held.
+func (s *LimitedServer) keepFormer(g *generation) {
+	if g.replaced.Load() && g.connections > 0 {
+		s.former[g] = struct{}{}
+	} else {
+		delete(s.former, g)
 	}
 }
 
@@ -93,8 +107,8 @@
 		"idle-timeout", limits.IdleTimeout)
 	old := s.current
 	s.limits, s.current = limits, s.newGeneration(limits)
-	s.former[old] = struct{}{}
 	old.replaced.Store(true)
+	s.keepFormer(old)
 	_ = old.queue.Close() // it cannot fail
 }
 
--- a/internal/httpapi/limited_test.go
+++ b/internal/httpapi/limited_test.go
@@ -94,6 +94,13 @@
 		}
 		answering(w, r)
 	})
+	kept := func() int {
+		server.mutex.Lock()
+		defer server.mutex.Unlock()
+		return len(server.former)
+	}
+	server.SetLimits(Limits{IdleTimeout: 2 * time.Minute})
+	is.Equal(kept(), 0) // no connection has the former limits
 	idle, slow := dial(t, address), dial(t, address)
 	reply, err := exchangeOver(t, idle, "")
 	is.NoErr(err)
@@ -122,17 +129,13 @@
 	_, err = exchangeOver(t, fresh, "")
 	is.True(err != nil) // idle for longer than it may be
 	is.NoErr(slow.Close())
-	kept := 1
 	for range 100 {
-		server.mutex.Lock()
-		kept = len(server.former)
-		server.mutex.Unlock()
-		if kept == 0 {
+		if kept() == 0 {
 			break
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	is.Equal(kept, 0) // nothing is kept of limits without connections
+	is.Equal(kept(), 0) // nothing is kept of limits without connections
 }
 
 // TestLimitedShutdown guards against a graceful stop that cuts a request of a connection with former limits, and against
