--- a/internal/lookup/budget_test.go
+++ b/internal/lookup/budget_test.go
@@ -1,11 +1,15 @@
 package lookup
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
 var allowed = Allowance{Window: 10 * time.Second, Ratio: 0.2, Extra: 56}
@@ -66,3 +70,68 @@
 	is.True(!b.take(now.Add(9*time.Second), share))
 	is.True(b.take(now.Add(11*time.Second), share))
 }
+
+// TestExtraSendsAreBounded replays a service whose replicas reject most requests. It guards against retries that multiply
+// its load beyond the allowance.
+func TestExtraSendsAreBounded(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		draws := 0
+		s := newStage(t, func(fleet.ServerID, time.Time) behaviour {
+			if draws++; draws%5 != 0 {
+				return rejecting()
+			}
+			return good(work)
+		})
+		results := s.load(s.fan, 20*time.Millisecond, 10*time.Second)
+		for i := range shards {
+			arrivals := s.count(fleet.ServerID(serviceOf(i)+"-a")) + s.count(fleet.ServerID(serviceOf(i)+"-b"))
+			most := float64(len(results))*(1+allowed.Ratio) + allowed.Extra/4
+			is.True(float64(arrivals) <= most)
+		}
+	})
+}
+
+// TestUnsentIsNotExtra guards against an allowance that is used up by sends that no replica got: the first replica rejects a
+// part, the second refuses the connection.
+func TestUnsentIsNotExtra(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStage(t, func(id fleet.ServerID, _ time.Time) behaviour {
+			switch id {
+			case "s3-a":
+				return rejecting()
+			case "s3-b":
+				return behaviour{delay: time.Millisecond, outcome: Outcome{Verdict: verdict.NotRun, Reason: verdict.ConnectFailed}}
+			}
+			return good(work)
+		})
+		const requests = 20
+		for range requests {
+			is.True(s.run(s.fan).Failure == nil)
+		}
+		is.True(s.count("s3-b") > 0)
+		is.Equal(s.engine.budgets["s3"].allExtra, s.count("s3-a")-requests)
+	})
+}
+
+// TestExtraSendsAfterRestarts replays processes that use their allowance up, end and start again. It guards against a new
+// constant with each start: in one window the sum went beyond the bound (guaman-latch scale-1, four restarts).
+func TestExtraSendsAfterRestarts(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStage(t, func(fleet.ServerID, time.Time) behaviour { return rejecting() })
+		s.fan.Floor = 0.1
+		requests := 0
+		for start := range 4 {
+			if start > 0 {
+				s.engine = New(Options{Zone: "a", Sender: s.backends, Extra: allowed, Random: rand.New(rand.NewPCG(1, 2))})
+				s.engine.SetInstances(4)
+				s.update(nil)
+			}
+			requests += len(s.load(s.fan, 20*time.Millisecond, 2*time.Second))
+		}
+		arrivals := s.count("s0-a") + s.count("s0-b")
+		is.True(float64(arrivals) <= float64(requests)*(1+allowed.Ratio)+allowed.Extra/4)
+	})
+}
--- a/internal/lookup/fanout_test.go
+++ b/internal/lookup/fanout_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -339,71 +338,6 @@
 	})
 }
 
-// TestExtraSendsAreBounded replays a service whose replicas reject most requests. It guards against retries that multiply
-// its load beyond the allowance.
-func TestExtraSendsAreBounded(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		draws := 0
-		s := newStage(t, func(fleet.ServerID, time.Time) behaviour {
-			if draws++; draws%5 != 0 {
-				return rejecting()
-			}
-			return good(work)
-		})
-		results := s.load(s.fan, 20*time.Millisecond, 10*time.Second)
-		for i := range shards {
-			arrivals := s.count(fleet.ServerID(serviceOf(i)+"-a")) + s.count(fleet.ServerID(serviceOf(i)+"-b"))
-			most := float64(len(results))*(1+allowed.Ratio) + allowed.Extra/4
-			is.True(float64(arrivals) <= most)
-		}
-	})
-}
-
-// TestUnsentIsNotExtra guards against an allowance that is used up by sends that no replica got: the first replica rejects a
-// part, the second refuses the connection.
-func TestUnsentIsNotExtra(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newStage(t, func(id fleet.ServerID, _ time.Time) behaviour {
-			switch id {
-			case "s3-a":
-				return rejecting()
-			case "s3-b":
-				return behaviour{delay: time.Millisecond, outcome: Outcome{Verdict: verdict.NotRun, Reason: verdict.ConnectFailed}}
-			}
-			return good(work)
-		})
-		const requests = 20
-		for range requests {
-			is.True(s.run(s.fan).Failure == nil)
-		}
-		is.True(s.count("s3-b") > 0)
-		is.Equal(s.engine.budgets["s3"].allExtra, s.count("s3-a")-requests)
-	})
-}
-
-// TestExtraSendsAfterRestarts replays processes that use their allowance up, end and start again. It guards against a new
-// constant with each start: in one window the sum went beyond the bound (guaman-latch scale-1, four restarts).
-func TestExtraSendsAfterRestarts(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newStage(t, func(fleet.ServerID, time.Time) behaviour { return rejecting() })
-		s.fan.Floor = 0.1
-		requests := 0
-		for start := range 4 {
-			if start > 0 {
-				s.engine = New(Options{Zone: "a", Sender: s.backends, Extra: allowed, Random: rand.New(rand.NewPCG(1, 2))})
-				s.engine.SetInstances(4)
-				s.update(nil)
-			}
-			requests += len(s.load(s.fan, 20*time.Millisecond, 2*time.Second))
-		}
-		arrivals := s.count("s0-a") + s.count("s0-b")
-		is.True(float64(arrivals) <= float64(requests)*(1+allowed.Ratio)+allowed.Extra/4)
-	})
-}
-
 // TestLinger guards against sends that end with their request's context once the caller has its answer: their answers show
 // when a pause ends, and keep the connections. They end soon after in any case.
 func TestLinger(t *testing.T) {
--- a/internal/telemetry/labels.go
+++ b/internal/telemetry/labels.go
@@ -14,7 +14,7 @@
 )
 
 // mostLabelSets bounds the label sets of one instrument, because the names of routes and services are the operators' and
-// new ones come with each version of the configuration. A set takes about 200 B, a histogram about 500 B.
+// new ones come with each version of the configuration.
 const mostLabelSets = 1000
 
 // answer says what a caller got.
