Share slow replicas among the instances of a zone; bound what peers may send

Cause: each instance judges replicas from its own sends. And the listener for peers took frames of any length from anyone. Ruled out: running fan-outs on a few instances of each zone; the loss of one of them would then hit a third of a zone, and a hop can be lost. Change: internal/sighting collects sends that went badly on one instance a zone and hands them to the others; two that end apart confirm each other.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -148,20 +148,20 @@
 	return directory.Change{Instance: id, Registered: &directory.Instance{ID: id, Zone: zone, Peers: string(id)}}
 }
 
-// link is one instance's way to the store.
-type link struct {
+// storeLink is one instance's way to the store.
+type storeLink struct {
 	*store
 	cut atomic.Bool
 }
 
-func (l *link) List(ctx context.Context) ([]directory.Change, uint64, error) {
+func (l *storeLink) List(ctx context.Context) ([]directory.Change, uint64, error) {
 	if l.cut.Load() {
 		return nil, 0, errDown
 	}
 	return l.store.List(ctx)
 }
 
-func (l *link) Changes(ctx context.Context, after uint64, wait time.Duration) ([]directory.Change, uint64, bool, error) {
+func (l *storeLink) Changes(ctx context.Context, after uint64, wait time.Duration) ([]directory.Change, uint64, bool, error) {
 	if l.cut.Load() {
 		return nil, 0, false, errDown
 	}
@@ -174,7 +174,7 @@
 	running map[fleet.InstanceID]*Follower
 	views   map[fleet.InstanceID]*directory.View
 	silent  map[fleet.InstanceID]bool
-	links   map[fleet.InstanceID]*link
+	links   map[fleet.InstanceID]*storeLink
 }
 
 func (i *instances) News(ctx context.Context, address string, after uint64, wait time.Duration) (News, error) {
@@ -192,7 +192,7 @@
 }
 
 func (i *instances) start(ctx context.Context, self directory.Instance, s *store) {
-	l := &link{store: s}
+	l := &storeLink{store: s}
 	f := New(Options{
 		Self: self, Source: l, Peers: i, Pause: pause, Lapse: 3 * heartbeat, Random: rand.New(rand.NewPCG(1, uint64(len(self.ID)))),
 		Publish: func(v *directory.View) {
@@ -232,7 +232,7 @@
 		s := newStore()
 		i := &instances{
 			running: make(map[fleet.InstanceID]*Follower), views: make(map[fleet.InstanceID]*directory.View),
-			silent: make(map[fleet.InstanceID]bool), links: make(map[fleet.InstanceID]*link),
+			silent: make(map[fleet.InstanceID]bool), links: make(map[fleet.InstanceID]*storeLink),
 		}
 		s.write(configuration(1))
 		for _, id := range []fleet.ServerID{"r1", "r2", "r3", "r4", "r5"} {
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -3,22 +3,19 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"net"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/jsonrpc2"
-	"k8s.io/klog/v2"
 
 	"github.com/medlarlatch/medlarlatch/internal/directory"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/link"
 	"github.com/medlarlatch/medlarlatch/internal/routing"
 )
 
-// newsMethod is the one method that instances call of each other.
-const newsMethod = "news"
+// NewsMethod is the method that followers call of each other.
+const NewsMethod = "news"
 
 type newsRequest struct {
 	After      uint64 `json:"after"`
@@ -77,7 +74,7 @@
 }
 
 // decode turns a message into news; former hands the positions of weighted routes on.
-func (m *newsMessage) decode(former *routing.Table, now time.Time) News {
+func (m *newsMessage) decode(former *routing.Table, now time.Time) (News, error) {
 	news := News{Revision: m.Revision, Age: time.Duration(m.AgeMillis) * time.Millisecond, Whole: m.Whole}
 	for _, encoded := range m.Changes {
 		change := directory.Change{
@@ -91,102 +88,44 @@
 			change.Entry.ColdUntil = now.Add(time.Duration(encoded.ColdMillis) * time.Millisecond)
 		}
 		if table := encoded.Table; table != nil {
+			if slices.Contains(table.Routes, nil) {
+				return News{}, eris.New("peer: a table with an empty route")
+			}
 			change.Table = routing.New(table.Version, table.Routes, table.Services, table.Limits, former)
 			former = change.Table
 		}
 		news.Changes = append(news.Changes, change)
 	}
-	return news
+	return news, nil
 }
 
-// Client asks peers over one lasting connection each. It implements Peers.
+// Client asks peers. It implements Peers.
 type Client struct {
 	// Former returns the table in force, or nil.
 	Former func() *routing.Table
-	mutex  sync.Mutex
-	conns  map[string]*jsonrpc2.Conn
+	links  *link.Client
 }
 
-// NewClient returns a client without connections.
-func NewClient(former func() *routing.Table) *Client {
-	return &Client{Former: former, conns: make(map[string]*jsonrpc2.Conn)}
+// NewClient returns a client over the links.
+func NewClient(links *link.Client, former func() *routing.Table) *Client {
+	return &Client{Former: former, links: links}
 }
 
-// News implements Peers. A connection that failed a call is closed, because it may have gone silent.
+// News implements Peers.
 func (c *Client) News(ctx context.Context, address string, after uint64, wait time.Duration) (News, error) {
-	conn, err := c.connect(ctx, address)
-	if err != nil {
-		return News{}, err
-	}
 	var message newsMessage
-	if err := conn.Call(ctx, newsMethod, newsRequest{after, wait.Milliseconds()}, &message); err != nil {
-		c.drop(address, conn)
-		return News{}, eris.Wrap(err, "peer")
-	}
-	return message.decode(c.Former(), time.Now()), nil
-}
-
-func (c *Client) connect(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
-	c.mutex.Lock()
-	known := c.conns[address]
-	c.mutex.Unlock()
-	if known != nil {
-		return known, nil
-	}
-	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, eris.Wrap(err, "peer")
-	}
-	// The connection outlives the call that opened it; nothing is answered on this side.
-	conn := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream(raw), jsonrpc2.HandlerWithError(refuseCall))
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.conns[address] = conn
-	return conn, nil
-}
-
-func (c *Client) drop(address string, conn *jsonrpc2.Conn) {
-	c.mutex.Lock()
-	if c.conns[address] == conn {
-		delete(c.conns, address)
-	}
-	c.mutex.Unlock()
-	if err := conn.Close(); err != nil && !errors.Is(err, jsonrpc2.ErrClosed) {
-		klog.V(1).InfoS("Peer connection not closed", "err", err)
-	}
-}
-
-func stream(raw net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
-}
-
-func refuseCall(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"}
-}
-
-// Serve answers the peers that connect to the listener until it is closed.
-func (f *Follower) Serve(ctx context.Context, listener net.Listener) error {
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(f.answer).SuppressErrClosed())
-	for {
-		raw, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			return eris.Wrap(err, "accept")
-		}
-		jsonrpc2.NewConn(ctx, stream(raw), handler)
+	if err := c.links.Call(ctx, address, NewsMethod, newsRequest{after, wait.Milliseconds()}, &message); err != nil {
+		return News{}, err
 	}
+	return message.decode(c.Former(), time.Now())
 }
 
-func (f *Follower) answer(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
-	if request.Method != newsMethod || request.Params == nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"}
-	}
+// Answer answers a call of NewsMethod. It implements link.Handler.
+func (f *Follower) Answer(ctx context.Context, params json.RawMessage) (any, error) {
 	var asked newsRequest
-	if err := json.Unmarshal(*request.Params, &asked); err != nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	if err := json.Unmarshal(params, &asked); err != nil {
+		return nil, err
 	}
-	wait := time.Duration(asked.WaitMillis) * time.Millisecond
+	wait := time.Duration(min(max(asked.WaitMillis, 0), longestWait.Milliseconds())) * time.Millisecond
 	return encode(f.News(ctx, asked.After, wait), time.Now()), nil
 }
--- a/internal/follow/peers_test.go
+++ b/internal/follow/peers_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/directory"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/link"
 	"github.com/medlarlatch/medlarlatch/internal/routing"
 )
 
@@ -40,7 +41,8 @@
 	is.NoErr(err)
 	var message newsMessage
 	is.NoErr(json.Unmarshal(text, &message))
-	again := message.decode(nil, now)
+	again, err := message.decode(nil, now)
+	is.NoErr(err)
 	is.Equal(again.Revision, news.Revision)
 	is.Equal(again.Age, news.Age)
 	is.Equal(again.Whole, news.Whole)
@@ -61,8 +63,10 @@
 	f := New(Options{Random: rand.New(rand.NewPCG(1, 1)), Publish: func(*directory.View) {}})
 	f.take([]directory.Change{configuration(3), replica("r1")}, true, 11, 0)
 	ended := make(chan error, 1)
-	go func() { ended <- f.Serve(t.Context(), listener) }()
-	client := NewClient(func() *routing.Table { return nil })
+	server := link.NewServer(map[string]link.Handler{NewsMethod: f.Answer})
+	go func() { ended <- server.Serve(t.Context(), listener) }()
+	links := link.NewClient()
+	client := NewClient(links, func() *routing.Table { return nil })
 	news, err := client.News(t.Context(), listener.Addr().String(), 0, 0)
 	is.NoErr(err)
 	is.True(news.Whole)
@@ -79,7 +83,7 @@
 	defer cancel()
 	_, err = client.News(bounded, listener.Addr().String(), 12, 5*time.Second)
 	is.True(err != nil)
-	is.Equal(len(client.conns), 0)
+	is.Equal(links.Connections(), 0)
 	is.NoErr(listener.Close())
 	is.NoErr(<-ended)
 }
--- a/internal/follow/source_test.go
+++ b/internal/follow/source_test.go
@@ -75,7 +75,7 @@
 		i.running["behind"] = peer
 		i.mutex.Unlock()
 		f := New(Options{
-			Self: directory.Instance{ID: "f", Zone: "a"}, Source: &link{store: s}, Peers: i, Pause: pause, Lapse: 3 * heartbeat,
+			Self: directory.Instance{ID: "f", Zone: "a"}, Source: &storeLink{store: s}, Peers: i, Pause: pause, Lapse: 3 * heartbeat,
 			Random: rand.New(rand.NewPCG(1, 1)), Publish: func(*directory.View) {},
 		})
 		s.write(goneReplica("r2"))
--- a/internal/lookup/attempt.go
+++ b/internal/lookup/attempt.go
@@ -35,7 +35,7 @@
 	go func() {
 		outcome := e.sender.Send(ctx, request, a.to.Replica, connections)
 		now := time.Now()
-		a.to.load.end(a.number, now, &outcome)
+		e.share(a.to, a.to.load.end(a.number, now, &outcome), now)
 		e.recordSend(a.to, outcome.Reason, now.Sub(a.sent))
 		if outcome.Unsent && a.paid != nil {
 			a.paid.refund()
--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -9,6 +9,7 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/internal/routing"
+	"github.com/medlarlatch/medlarlatch/internal/sighting"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
@@ -34,6 +35,8 @@
 	Sender Sender
 	// Recorder may be nil.
 	Recorder Recorder
+	// Seen is told of sends that went badly, for the other instances; it may be nil and must not block.
+	Seen func(sighting.Sighting)
 	// Extra bounds the sends beyond the first of each request, for each service over all instances.
 	Extra Allowance
 	// Forget is called for each replica that is gone; it may be nil.
@@ -51,6 +54,7 @@
 	zone      fleet.ZoneID
 	sender    Sender
 	recorder  Recorder
+	seen      func(sighting.Sighting)
 	extra     atomic.Pointer[Allowance]
 	forgotten func(fleet.ServerID)
 	started   time.Time
@@ -77,6 +81,7 @@
 		zone:      options.Zone,
 		sender:    options.Sender,
 		recorder:  options.Recorder,
+		seen:      options.Seen,
 		forgotten: options.Forget,
 		started:   time.Now(),
 		loads:     make(map[fleet.ServerID]known),
@@ -102,9 +107,9 @@
 // SetExtra replaces the bound on extra sends.
 func (e *Engine) SetExtra(allowed Allowance) { e.extra.Store(&allowed) }
 
-// share returns this instance's part of the bound on extra sends. In the first window after its start it has no part of the
+// allowance returns this instance's part of the bound on extra sends. In the first window after its start it has no part of the
 // constant, because the process before it may have used that up just before it ended.
-func (e *Engine) share(now time.Time) Allowance {
+func (e *Engine) allowance(now time.Time) Allowance {
 	allowed := *e.extra.Load()
 	if now.Sub(e.started) < allowed.Window {
 		allowed.Extra = 0
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -114,7 +114,7 @@
 	current := f.engine.plan.Load()
 	for _, service := range f.request.Route.Shards {
 		if g := current.groups[service]; g != nil {
-			g.extra.request(now, f.engine.share(now))
+			g.extra.request(now, f.engine.allowance(now))
 		}
 	}
 	likely := f.engine.likely(current, f.request.Route, now)
@@ -249,7 +249,7 @@
 	if !p.arrived && !p.live() {
 		return nil, true
 	}
-	if g.extra.take(now, f.engine.share(now)) {
+	if g.extra.take(now, f.engine.allowance(now)) {
 		return g.extra, true
 	}
 	if !p.starved {
--- a/internal/lookup/load.go
+++ b/internal/lookup/load.go
@@ -19,8 +19,8 @@
 	stallFloor  = 8 * time.Millisecond
 	// slownessMemory is how fast a slow replica is forgiven while nothing is sent to it.
 	slownessMemory = 1500 * time.Millisecond
-	// slownessGain is the weight of a new observation.
-	slownessGain = 0.2
+	// observationGain is the weight of a new observation.
+	observationGain = 0.2
 	// mostSlowness bounds what one observation counts.
 	mostSlowness = 12
 	// rejectMemory is how fast rejections are forgiven.
@@ -42,17 +42,19 @@
 // load is what this instance knows of one start of a replica from its own sends. It answers three patterns: a replica
 // that pauses, one that is slow for seconds, and one that rejects or loses part of its requests.
 type load struct {
-	id       fleet.ServerID
-	mutex    sync.Mutex
-	waiting  []waiting // in the order of sending
-	numbers  uint64
-	heard    time.Time
-	slowness float64 // smoothed time of a part over the usual time, less 1
-	slowAt   time.Time
-	rejects  float64 // smoothed share of sends that failed or were rejected
-	rejectAt time.Time
-	silent   int // sends in a row without an answer
-	suspect  time.Time
+	id      fleet.ServerID
+	mutex   sync.Mutex
+	waiting []waiting // in the order of sending
+	numbers uint64
+	heard   time.Time
+	// slowness is the time of a part over the usual time, less 1; rejects is the share of sends that failed or were
+	// rejected. The told ones are what other instances saw.
+	slowness, toldSlowness smoothed
+	rejects, toldRejects   smoothed
+	// bad is when a send ended last that took long, here or at another instance.
+	bad     time.Time
+	silent  int // sends in a row without an answer
+	suspect time.Time
 	// probing is set while a probe runs; reached is when the last successful one ended. vouched is set once a probe has
 	// ended a suspicion, until the replica answers a request.
 	probing bool
@@ -72,8 +74,8 @@
 	return l.numbers
 }
 
-// end records the outcome of a send.
-func (l *load) end(number uint64, now time.Time, outcome *Outcome) {
+// end records the outcome of a send and returns what it showed.
+func (l *load) end(number uint64, now time.Time, outcome *Outcome) (seen observation) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	var ended waiting
@@ -94,36 +96,40 @@
 		l.silent, l.vouched = 0, false
 		l.suspect = time.Time{}
 		if outcome.Reason == verdict.None {
-			l.observe(now, elapsed, ended.expected)
-			l.reject(now, 0)
+			seen.ratio = l.observe(now, elapsed, ended.expected)
+			l.rejects.observe(now, 0, rejectMemory)
 		} else {
-			l.reject(now, 1)
+			seen.rejected = true
+			l.rejects.observe(now, 1, rejectMemory)
 		}
 		if outcome.Reason == verdict.Misdirected && !l.misdirected {
 			klog.InfoS("Replica misdirected", "replica", l.id)
 			l.misdirected = true
 		}
 	case outcome.Reason == verdict.Cancelled || outcome.Reason == verdict.DeadlinePassed:
-		l.unanswered(now, elapsed, ended)
+		seen.ratio = l.unanswered(now, elapsed, ended)
 	case outcome.Reason == verdict.ConnectFailed:
 		l.suspectFor(now, outcome.Reason)
 	case outcome.Reason == verdict.Overloaded:
 		// Every connection of this instance is in use; nothing is learnt of the replica.
 	default:
-		l.reject(now, 1)
+		seen.rejected = true
+		l.rejects.observe(now, 1, rejectMemory)
 	}
+	return seen
 }
 
 // unanswered records a send that was given up. A short wait says nothing, nor does one that began before the replica was
 // reached again; a long one counts as at least that slow, and as silence if nothing else was heard meanwhile.
-func (l *load) unanswered(now time.Time, elapsed time.Duration, ended waiting) {
+func (l *load) unanswered(now time.Time, elapsed time.Duration, ended waiting) (ratio float64) {
 	if elapsed < stallAfter(ended.expected) || ended.sent.Before(l.reached) {
-		return
+		return 0
 	}
-	l.observe(now, elapsed, ended.expected)
+	ratio = l.observe(now, elapsed, ended.expected)
 	if l.heard.Before(ended.sent) {
 		l.suspectFor(now, verdict.DeadlinePassed)
 	}
+	return ratio
 }
 
 func (l *load) suspectFor(now time.Time, reason verdict.Reason) {
@@ -145,29 +151,33 @@
 	return now.Sub(at).Round(time.Millisecond).String()
 }
 
-func (l *load) observe(now time.Time, elapsed, expected time.Duration) {
-	ratio := min(float64(elapsed)/float64(max(expected, time.Millisecond)), mostSlowness)
-	current := l.slownessAt(now)
-	l.slowness = current + slownessGain*(ratio-1-current)
-	l.slowAt = now
-}
-
-func (l *load) slownessAt(now time.Time) float64 {
-	return l.slowness * fade(now.Sub(l.slowAt), slownessMemory)
+// observe records the time of a send and returns it in usual times. A usual one shows that what others told is over.
+func (l *load) observe(now time.Time, elapsed, expected time.Duration) (ratio float64) {
+	ratio = min(float64(elapsed)/float64(max(expected, time.Millisecond)), mostSlowness)
+	l.slowness.observe(now, ratio-1, slownessMemory)
+	if ratio >= sharedRatio {
+		l.bad = latest(l.bad, now)
+	} else {
+		l.toldSlowness.observe(now, ratio-1, slownessMemory)
+		l.toldRejects.observe(now, 0, rejectMemory)
+	}
+	return ratio
 }
 
-func (l *load) reject(now time.Time, share float64) {
-	current := l.rejectsAt(now)
-	l.rejects = current + slownessGain*(share-current)
-	l.rejectAt = now
+// smoothed is a smoothed value that fades while nothing is observed.
+type smoothed struct {
+	value float64
+	at    time.Time
 }
 
-func (l *load) rejectsAt(now time.Time) float64 {
-	return l.rejects * fade(now.Sub(l.rejectAt), rejectMemory)
+func (s *smoothed) now(now time.Time, memory time.Duration) float64 {
+	return s.value * math.Exp(-float64(now.Sub(s.at))/float64(memory))
 }
 
-func fade(age, memory time.Duration) float64 {
-	return math.Exp(-float64(age) / float64(memory))
+func (s *smoothed) observe(now time.Time, sample float64, memory time.Duration) {
+	current := s.now(now, memory)
+	s.value = current + observationGain*(sample-current)
+	s.at = now
 }
 
 func stallAfter(expected time.Duration) time.Duration {
@@ -212,12 +222,12 @@
 func (l *load) cost(now time.Time, expected time.Duration, local, cold bool, slots int) time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	times := 1 + max(l.slownessAt(now), -0.5)
+	times := 1 + max(l.slowness.now(now, slownessMemory), l.toldSlowness.now(now, slownessMemory), -0.5)
 	if cold {
 		times *= coldSlowness
 	}
 	times *= 1 + waitingCost*float64(len(l.waiting))/float64(max(slots, 1))
-	times += rejectCost * l.rejectsAt(now)
+	times += rejectCost * max(l.rejects.now(now, rejectMemory), l.toldRejects.now(now, rejectMemory))
 	if l.stalled(now) {
 		times += stallCost
 	}
@@ -308,6 +318,6 @@
 	if !l.vouched && (l.silent > 0 || now.Before(l.suspect)) {
 		l.vouched = true
 		l.suspect = time.Time{}
-		l.slowness = 0
+		l.slowness = smoothed{}
 	}
 }
--- /dev/null
+++ b/internal/lookup/sightings.go
@@ -0,0 +1,84 @@
+package lookup
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/medlarlatch/medlarlatch/internal/sighting"
+)
+
+// sharedRatio is the time of a send, in usual times, from which the other instances are told: few sends to a sound replica
+// take that long.
+const sharedRatio = 2
+
+const (
+	// confirmAfter and confirmWithin are the times between two slow sends that show that a replica is slow. Sends that wait for
+	// the end of one pause end together, and what is known of a pause comes too late to be of use.
+	confirmAfter  = 60 * time.Millisecond
+	confirmWithin = time.Second
+)
+
+// observation is what one send showed of its replica.
+type observation struct {
+	// ratio is the time of the send in usual times; 0 if it showed none.
+	ratio float64
+	// rejected is set when the replica rejected or failed it.
+	rejected bool
+}
+
+// share tells the other instances of a send that went badly.
+func (e *Engine) share(to *member, seen observation, now time.Time) {
+	if e.seen == nil || !seen.rejected && seen.ratio < sharedRatio {
+		return
+	}
+	s := sighting.Sighting{Replica: to.ID, Born: to.Born, At: now}
+	if !seen.rejected {
+		s.Slowness = seen.ratio
+	}
+	e.seen(s)
+}
+
+// Told takes what other instances saw. It answers many instances of which each sends to a replica too seldom to find out by
+// itself that it is slow or fails. It changes only the order in which replicas are chosen: whether one is silent, and whether
+// a request can be served at all, is judged from this instance's own sends.
+func (e *Engine) Told(sightings []sighting.Sighting) {
+	e.updating.Lock()
+	defer e.updating.Unlock()
+	for _, s := range sightings {
+		if known := e.loads[s.Replica]; known.load != nil && known.replica.Born == s.Born {
+			known.load.told(s)
+		}
+	}
+}
+
+// told records what another instance saw.
+func (l *load) told(s sighting.Sighting) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if s.Slowness == 0 {
+		l.toldRejects.observe(latest(s.At, l.toldRejects.at), 1, rejectMemory)
+		return
+	}
+	apart := s.At.Sub(l.bad)
+	if apart > -confirmAfter && apart < confirmAfter {
+		return // most likely one pause
+	}
+	l.bad = latest(l.bad, s.At)
+	if apart > confirmWithin {
+		return // the first in a while
+	}
+	was := l.toldSlowness.now(s.At, slownessMemory)
+	l.toldSlowness.observe(latest(s.At, l.toldSlowness.at), min(s.Slowness, mostSlowness)-1, slownessMemory)
+	if was < slowState && l.toldSlowness.value >= slowState {
+		klog.V(1).InfoS("Replica slow by others' word", "replica", l.id, "slowness", l.toldSlowness.value, "own", l.slowness.now(s.At, slownessMemory))
+	}
+}
+
+// latest keeps the time of a smoothed value from going back: sightings of several instances come out of order.
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -51,7 +51,7 @@
 	if g == nil {
 		return s.refuse(verdict.New(verdict.NotRun, verdict.NoReplica, "service %s has no replica", s.part.service).WithRetryAfter(retryAfter))
 	}
-	g.extra.request(now, s.engine.share(now))
+	g.extra.request(now, s.engine.allowance(now))
 	if chosen != nil {
 		s.send(chosen, g, false, nil, now)
 	} else { // all connections are in use, or the replicas are cold
@@ -150,7 +150,7 @@
 	switch {
 	case !s.part.arrived:
 		paid = nil // nothing has reached a replica yet, so that the send is not extra
-	case !g.extra.take(now, s.engine.share(now)):
+	case !g.extra.take(now, s.engine.allowance(now)):
 		s.trace.Starved++
 		s.engine.counters.Starved.Add(1)
 		return s.fail(), true
@@ -211,7 +211,7 @@
 	last := s.part.attempts[len(s.part.attempts)-1]
 	last.hedge = true // one try; without room for it the request waits for its first send
 	chosen, g := s.engine.choose(s.request.Route, s.part.service, s.part.tried, true, s.expected, now)
-	if chosen == nil || !g.extra.take(now, s.engine.share(now)) {
+	if chosen == nil || !g.extra.take(now, s.engine.allowance(now)) {
 		return Result{}, false
 	}
 	s.trace.Hedges++
--- a/internal/lookup/state.go
+++ b/internal/lookup/state.go
@@ -45,9 +45,9 @@
 		return Silent
 	case l.stalled(now):
 		return Stalled
-	case l.rejectsAt(now) >= failingState:
+	case l.rejects.now(now, rejectMemory) >= failingState:
 		return Failing
-	case l.slownessAt(now) >= slowState:
+	case l.slowness.now(now, slownessMemory) >= slowState:
 		return Slow
 	case cold:
 		return Cold
@@ -82,7 +82,7 @@
 
 // ExtraSends returns the state of the bound on extra sends, for each service with replicas.
 func (e *Engine) ExtraSends(now time.Time) []ExtraSends {
-	allowed := e.share(now)
+	allowed := e.allowance(now)
 	var all []ExtraSends
 	for id, g := range e.plan.Load().groups {
 		spent, left := g.extra.state(now, allowed)
--- /dev/null
+++ b/internal/sighting/message.go
@@ -0,0 +1,56 @@
+package sighting
+
+import (
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+)
+
+// The methods that instances call of the board of their zone.
+const (
+	ReportMethod = "sightings-report"
+	NewsMethod   = "sightings-news"
+)
+
+// sightingMessage is a Sighting with an age in place of a time, because instances share no clock.
+type sightingMessage struct {
+	Replica   fleet.ServerID `json:"replica"`
+	Born      int64          `json:"born"`
+	Slowness  float64        `json:"slowness,omitempty"`
+	AgeMillis int64          `json:"age-millis"`
+}
+
+type reportRequest struct {
+	From      fleet.InstanceID  `json:"from"`
+	Sightings []sightingMessage `json:"sightings"`
+}
+
+type newsRequest struct {
+	From     fleet.InstanceID `json:"from"`
+	Position uint64           `json:"position"`
+}
+
+type newsAnswer struct {
+	Position  uint64            `json:"position"`
+	Sightings []sightingMessage `json:"sightings,omitempty"`
+}
+
+func encode(sightings []Sighting, now time.Time) []sightingMessage {
+	messages := make([]sightingMessage, len(sightings))
+	for i, s := range sightings {
+		messages[i] = sightingMessage{s.Replica, s.Born, s.Slowness, max(0, now.Sub(s.At).Milliseconds())}
+	}
+	return messages
+}
+
+// decode drops what is too old to matter, whatever the age says.
+func decode(messages []sightingMessage, now time.Time) []Sighting {
+	var sightings []Sighting
+	for _, m := range messages {
+		if m.AgeMillis < 0 || m.AgeMillis >= memory.Milliseconds() || m.Slowness < 0 {
+			continue
+		}
+		sightings = append(sightings, Sighting{m.Replica, m.Born, m.Slowness, now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)})
+	}
+	return sightings
+}
