Count what callers waited before they sent in the time of the answer

Cause: the objective counts from the caller's first byte, and the answer left 9 ms before it whoever asked. A caller that had to open a connection at 3 ms one way has spent 9 ms already: with an objective of 50 ms its answer without all parts was late (p99 56.7 ms). Ruled out: a larger constant, which would cost every other caller parts of its answer; the round trip of the kernel, which every platform would have to report. Change: the time that callers say is left is compared with the longest that others of the route give; the difference, up to a quarter of the objective, has passed already.

--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -14,8 +14,7 @@
 )
 
 const (
-	// wayBack is the time kept for the answer's way to the caller and for the caller's connection set-up, which counts
-	// in the caller's objective.
+	// wayBack is the time kept for the request's way here and the answer's way back, which count in the caller's objective.
 	wayBack = 9 * time.Millisecond
 	// lastMoment is the time kept before the deadline for a final refusal or a late answer.
 	lastMoment = 20 * time.Millisecond
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -64,7 +64,8 @@
 	f.expected = f.usual.usual()
 	f.gate = e.gateOf(route)
 	f.composeAt = f.giveUpAt
-	if objective := request.Arrived.Add(route.Objective - wayBack); route.Objective > 0 && objective.Before(f.giveUpAt) {
+	waited := f.usual.given.waited(request.Left, route.Objective)
+	if objective := request.Arrived.Add(route.Objective - wayBack - waited); route.Objective > 0 && objective.Before(f.giveUpAt) {
 		f.composeAt = objective
 	}
 	f.trace.Shards = len(f.parts)
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -24,6 +24,8 @@
 	Route *routing.Route
 	// Arrived is when the whole request was read.
 	Arrived time.Time
+	// Left is the time that the caller said it would wait when it sent the request; zero if it did not.
+	Left time.Duration
 	// Deadline is when the caller, or the route, gives the request up.
 	Deadline time.Time
 	// Call is what the Sender sends; this package does not look into it.
--- a/internal/lookup/pace.go
+++ b/internal/lookup/pace.go
@@ -34,6 +34,8 @@
 	mean atomic.Int64
 	// alone is the time of a send that finds a free slot.
 	alone undisturbed
+	// given is what callers give their requests.
+	given budgets
 }
 
 func newPace(route *routing.Route) *pace {
