Look at replicas that may be silent only; confirm sightings on the board

And each pause of a replica went to every instance of the zone as a sighting. Change: a replica carries a flag that says whether it may be silent; whether a zone is sound is looked at only once four of its replicas are silent. Probes of a zone in doubt go first to replicas that are not known to be silent, as the comment promised. Sightings are confirmed on the board, so that pauses are not passed on.

--- a/internal/lookup/fake_test.go
+++ b/internal/lookup/fake_test.go
@@ -202,3 +202,22 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// largeEngine is an engine in one of five zones before 518 services with three replicas each.
+func largeEngine() *Engine {
+	e := New(Options{Zone: "z0", Random: rand.New(rand.NewPCG(1, 2))})
+	v := &directory.View{Replicas: make(map[fleet.ServiceID][]directory.Replica)}
+	var services []routing.Service
+	for i := range 518 {
+		id := fleet.ServiceID(fmt.Sprintf("s%d", i))
+		services = append(services, routing.Service{ID: id, Connections: 175})
+		for k := range 3 {
+			v.Replicas[id] = append(v.Replicas[id], directory.Replica{
+				ID: fleet.ServerID(fmt.Sprintf("r%d-%d", i, k)), Service: id, Zone: fleet.ZoneID(fmt.Sprintf("z%d", (i+k)%5)), Slots: 3, Born: 1,
+			})
+		}
+	}
+	v.Table = routing.New(1, nil, services, routing.Limits{}, nil)
+	e.Update(v)
+	return e
+}
--- a/internal/lookup/load.go
+++ b/internal/lookup/load.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -51,10 +52,8 @@
 	// rejected. The told ones are what other instances saw.
 	slowness, toldSlowness smoothed
 	rejects, toldRejects   smoothed
-	// bad is when a send ended last that took long, here or at another instance.
-	bad     time.Time
-	silent  int // sends in a row without an answer
-	suspect time.Time
+	silent                 int // sends in a row without an answer
+	suspect                time.Time
 	// probing is set while a probe runs; reached is when the last successful one ended. vouched is set once a probe has
 	// ended a suspicion, until the replica answers a request.
 	probing bool
@@ -63,6 +62,8 @@
 	// misdirected is set when another process answers at the address.
 	misdirected bool
 	coldSends   []time.Time
+	// uncertain is set while the replica may be silent. It is read without the lock.
+	uncertain atomic.Bool
 }
 
 // begin records a send.
@@ -71,6 +72,7 @@
 	defer l.mutex.Unlock()
 	l.numbers++
 	l.waiting = append(l.waiting, waiting{l.numbers, now, expected})
+	l.uncertain.Store(true)
 	return l.numbers
 }
 
@@ -78,6 +80,7 @@
 func (l *load) end(number uint64, now time.Time, outcome *Outcome) (seen observation) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	defer l.settle(now)
 	var ended waiting
 	for i := range l.waiting {
 		if l.waiting[i].number == number {
@@ -140,6 +143,7 @@
 		klog.InfoS("Replica silent", "replica", l.id, "reason", reason, "heard", ageOf(l.heard, now), "waiting", len(l.waiting))
 	}
 	l.silent++
+	l.uncertain.Store(true)
 	l.suspect = now.Add(min(firstSuspicion<<min(l.silent-1, 10), longestSuspicion))
 }
 
@@ -155,9 +159,7 @@
 func (l *load) observe(now time.Time, elapsed, expected time.Duration) (ratio float64) {
 	ratio = min(float64(elapsed)/float64(max(expected, time.Millisecond)), mostSlowness)
 	l.slowness.observe(now, ratio-1, slownessMemory)
-	if ratio >= sharedRatio {
-		l.bad = latest(l.bad, now)
-	} else {
+	if ratio < sharedRatio {
 		l.toldSlowness.observe(now, ratio-1, slownessMemory)
 		l.toldRejects.observe(now, 0, rejectMemory)
 	}
@@ -171,6 +173,9 @@
 }
 
 func (s *smoothed) now(now time.Time, memory time.Duration) float64 {
+	if s.value == 0 {
+		return 0
+	}
 	return s.value * math.Exp(-float64(now.Sub(s.at))/float64(memory))
 }
 
@@ -276,12 +281,28 @@
 	return l.misdirected || now.Before(l.suspect) || l.silent > 0 && len(l.waiting) > 0
 }
 
-// contact tells whether the replica is silent, and whether it has answered just now.
-func (l *load) contact(now time.Time) (silent, sound bool) {
+// isSilent tells whether the replica is silent and has not answered just now.
+func (l *load) isSilent(now time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.settle(now)
+	return now.Before(l.suspect) || l.stalled(now) && !l.sound(now)
+}
+
+// isSound tells whether the replica has answered just now.
+func (l *load) isSound(now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	sound = now.Sub(l.heard) <= soundFor || now.Sub(l.reached) <= soundFor
-	return now.Before(l.suspect) || l.stalled(now) && !sound, sound
+	return l.sound(now)
+}
+
+func (l *load) sound(now time.Time) bool {
+	return now.Sub(l.heard) <= soundFor || now.Sub(l.reached) <= soundFor
+}
+
+// settle notes whether the replica may be silent, so that those that are not need no closer look.
+func (l *load) settle(now time.Time) {
+	l.uncertain.Store(len(l.waiting) > 0 || l.silent > 0 || now.Before(l.suspect))
 }
 
 // suspectUntil takes the replica for silent until the time, without counting it as a failure of its own.
@@ -290,6 +311,7 @@
 	defer l.mutex.Unlock()
 	if until.After(l.suspect) {
 		l.suspect = until
+		l.uncertain.Store(true)
 	}
 }
 
--- a/internal/lookup/plan.go
+++ b/internal/lookup/plan.go
@@ -14,6 +14,8 @@
 type plan struct {
 	table  *routing.Table
 	groups map[fleet.ServiceID]*group
+	// all are the members of all groups, and remote those in other zones.
+	all, remote []*member
 }
 
 // group is the replicas of one service.
@@ -48,7 +50,7 @@
 			loads[replica.ID] = state
 			g.members = append(g.members, member{Replica: replica, local: replica.Zone == e.zone, load: state.load})
 		}
-		next.groups[id] = g
+		next.add(g)
 	}
 	for id := range e.loads {
 		if _, listed := loads[id]; !listed {
@@ -64,6 +66,18 @@
 	})
 }
 
+// add takes a group whose members are complete.
+func (p *plan) add(g *group) {
+	p.groups[g.service.ID] = g
+	for i := range g.members {
+		m := &g.members[i]
+		p.all = append(p.all, m)
+		if !m.local {
+			p.remote = append(p.remote, m)
+		}
+	}
+}
+
 // dropUnused forgets what belongs to routes and services that the configuration no longer has. Their names are new in
 // many versions, so that these states would grow for ever.
 func (e *Engine) dropUnused(next *plan) {
--- a/internal/lookup/reach.go
+++ b/internal/lookup/reach.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"sync"
 	"time"
 
@@ -156,9 +157,11 @@
 	if doubt {
 		e.tryZones(ctx, prober, remote, now)
 	}
-	for _, m := range e.remotes() {
-		if cut[m.Zone] {
-			m.load.suspectUntil(now.Add(cutSuspicion))
+	if len(cut) > 0 {
+		for _, m := range e.plan.Load().remote {
+			if cut[m.Zone] {
+				m.load.suspectUntil(now.Add(cutSuspicion))
+			}
 		}
 	}
 	switch was, is := e.Isolated(), isolated(remote, cut); {
@@ -171,18 +174,40 @@
 	}
 }
 
-// tryZones probes some replicas of each zone of which none has answered just now.
+// tryZones probes some replicas of each zone of which none has answered just now, first those that are not known to be silent:
+// one that accepts shows that the zone is reached.
 func (e *Engine) tryZones(ctx context.Context, prober Prober, remote map[fleet.ZoneID]contact, now time.Time) {
 	started := make(map[fleet.ZoneID]int)
-	for _, m := range e.remotes() {
-		if !remote[m.Zone].sound && started[m.Zone] < triesAZone && m.load.startProbe(now, true) {
-			started[m.Zone]++
-			e.startProbe(ctx, prober, m)
+	for _, knownSilent := range []bool{false, true} {
+		for m := range e.scattered(e.plan.Load().remote) {
+			if remote[m.Zone].sound || started[m.Zone] >= triesAZone || m.load.isSilent(now) != knownSilent {
+				continue
+			}
+			if m.load.startProbe(now, true) {
+				started[m.Zone]++
+				e.startProbe(ctx, prober, m)
+			}
 		}
 	}
 }
 
-func (e *Engine) startProbe(ctx context.Context, prober Prober, m member) {
+// scattered returns the members in an order that differs from call to call, so that a bound on their number does not always
+// leave out the same ones.
+func (e *Engine) scattered(members []*member) iter.Seq[*member] {
+	return func(yield func(*member) bool) {
+		if len(members) == 0 {
+			return
+		}
+		start := int(e.draw.Add(1) * 0x9e3779b97f4a7c15 >> 33 % uint64(len(members)))
+		for i := range members {
+			if !yield(members[(start+i)%len(members)]) {
+				return
+			}
+		}
+	}
+}
+
+func (e *Engine) startProbe(ctx context.Context, prober Prober, m *member) {
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
@@ -196,29 +221,31 @@
 	e.isolation.since = since
 }
 
-// remotes returns the replicas in other zones.
-func (e *Engine) remotes() []member {
-	var all []member
-	for _, g := range e.plan.Load().groups {
-		for i := range g.members {
-			if !g.members[i].local {
-				all = append(all, g.members[i])
-			}
-		}
-	}
-	return all
-}
-
+// contacts returns the contact to each other zone. Whether a zone is sound is found out only if one of them has enough silent
+// replicas to be in doubt, because it takes a look at every replica.
 func (e *Engine) contacts(now time.Time) map[fleet.ZoneID]contact {
 	zones := make(map[fleet.ZoneID]contact)
-	for _, m := range e.remotes() {
-		zone := zones[m.Zone]
-		silent, sound := m.load.contact(now)
+	remote := e.plan.Load().remote
+	enough := false
+	for _, m := range remote {
+		zone, known := zones[m.Zone]
+		silent := m.load.uncertain.Load() && m.load.isSilent(now)
 		if silent {
 			zone.silent++
+			enough = enough || zone.silent >= cutEvidence
+		}
+		if silent || !known {
+			zones[m.Zone] = zone
+		}
+	}
+	if !enough {
+		return zones
+	}
+	for _, m := range remote {
+		if zone := zones[m.Zone]; !zone.sound && m.load.isSound(now) {
+			zone.sound = true
+			zones[m.Zone] = zone
 		}
-		zone.sound = zone.sound || sound
-		zones[m.Zone] = zone
 	}
 	return zones
 }
@@ -265,16 +292,13 @@
 // suspicion ends. While a zone is cut off no request would ever show that it is back.
 func (e *Engine) probe(ctx context.Context, prober Prober, now time.Time) {
 	started := 0
-	for _, g := range e.plan.Load().groups {
-		for i := range g.members {
-			m := g.members[i]
-			if started == probesAtOnce {
-				return
-			}
-			if m.load.startProbe(now, false) {
-				started++
-				e.startProbe(ctx, prober, m)
-			}
+	for m := range e.scattered(e.plan.Load().all) {
+		if started == probesAtOnce {
+			return
+		}
+		if m.load.uncertain.Load() && m.load.startProbe(now, false) {
+			started++
+			e.startProbe(ctx, prober, m)
 		}
 	}
 }
--- a/internal/lookup/sightings.go
+++ b/internal/lookup/sightings.go
@@ -12,13 +12,6 @@
 // take that long.
 const sharedRatio = 2
 
-const (
-	// confirmAfter and confirmWithin are the times between two slow sends that show that a replica is slow. Sends that wait for
-	// the end of one pause end together, and what is known of a pause comes too late to be of use.
-	confirmAfter  = 60 * time.Millisecond
-	confirmWithin = time.Second
-)
-
 // observation is what one send showed of its replica.
 type observation struct {
 	// ratio is the time of the send in usual times; 0 if it showed none.
@@ -60,14 +53,6 @@
 		l.toldRejects.observe(latest(s.At, l.toldRejects.at), 1, rejectMemory)
 		return
 	}
-	apart := s.At.Sub(l.bad)
-	if apart > -confirmAfter && apart < confirmAfter {
-		return // most likely one pause
-	}
-	l.bad = latest(l.bad, s.At)
-	if apart > confirmWithin {
-		return // the first in a while
-	}
 	was := l.toldSlowness.now(s.At, slownessMemory)
 	l.toldSlowness.observe(latest(s.At, l.toldSlowness.at), min(s.Slowness, mostSlowness)-1, slownessMemory)
 	if was < slowState && l.toldSlowness.value >= slowState {
--- /dev/null
+++ b/internal/lookup/waited_test.go
@@ -0,0 +1,70 @@
+package lookup
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+)
+
+// TestWaited guards against a time that the caller has not waited: before others were seen, after a repeated request, where
+// callers give different times, and after all of them give less than before.
+func TestWaited(t *testing.T) {
+	const objective = 100 * time.Millisecond
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	repeat := func(n, left int) []int {
+		var all []int
+		for range n {
+			all = append(all, left)
+		}
+		return all
+	}
+	cases := map[string]struct {
+		before []int // times left of earlier requests
+		left   int
+		want   int
+	}{
+		"first request":      {nil, 992, 0},
+		"new connection":     {[]int{1000, 992}, 992, 8},
+		"kept connection":    {[]int{992, 1000}, 1000, 0},
+		"without a time":     {[]int{1000}, 0, 0},
+		"repeated request":   {[]int{1000}, 700, 0},
+		"other kind":         {[]int{4000, 1000}, 1000, 0},
+		"less than formerly": {append([]int{1000}, repeat(2*budgetWindow, 990)...), 985, 5},
+		"not forgotten yet":  {append([]int{1000}, repeat(budgetWindow/2, 990)...), 985, 15},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			var b budgets
+			for _, left := range test.before {
+				b.waited(ms(left), objective)
+			}
+			is.New(t).Equal(b.waited(ms(test.left), objective), ms(test.want))
+		})
+	}
+}
+
+// TestAnswerCountsTheCallersWait guards against an answer in time for a caller that did not have to open a connection, and late
+// for one that did: one shard is silent, and the answer must leave as much earlier as the caller came later.
+func TestAnswerCountsTheCallersWait(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStage(t, func(id fleet.ServerID, _ time.Time) behaviour {
+			how := good(work)
+			how.silent = id == "s3-a" || id == "s3-b"
+			return how
+		})
+		took := func(left time.Duration) time.Duration {
+			began := time.Now()
+			result := s.engine.Run(t.Context(), &Request{Route: s.fan, Arrived: began, Left: left, Deadline: began.Add(left)})
+			is.True(result.Failure == nil)
+			is.Equal(result.Missing, 1)
+			return time.Since(began)
+		}
+		kept := took(timeout)
+		is.Equal(kept, objective-wayBack)
+		is.Equal(took(timeout-12*time.Millisecond), kept-12*time.Millisecond)
+	})
+}
--- a/internal/sighting/sharer.go
+++ b/internal/sighting/sharer.go
@@ -14,14 +14,16 @@
 )
 
 const (
-	// interval is the least time between two calls of one kind, so that many sightings share one.
-	interval = 100 * time.Millisecond
+	// reportInterval and newsInterval are the least times between two calls, so that many sightings share one. Pauses of
+	// replicas, which are not passed on, make most of the reports.
+	reportInterval = 200 * time.Millisecond
+	newsInterval   = 100 * time.Millisecond
 	// longestWait is how long the board lets a call for news wait.
 	longestWait = time.Second
 	// replyTimeout bounds the time of an answer beyond the wait: a few round trips, and a busy processor.
 	replyTimeout = 400 * time.Millisecond
 	// failedPause is how long a board that failed is not called.
-	failedPause = 3 * time.Second
+	failedPause = 5 * time.Second
 	// mostReported bounds one report; a frame of calls holds about 600.
 	mostReported = 400
 )
@@ -87,13 +89,13 @@
 // Run shares until ctx ends.
 func (s *Sharer) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	running.Go(func() { s.repeat(ctx, "report sightings", s.report) })
-	running.Go(func() { s.repeat(ctx, "take sightings", s.take) })
+	running.Go(func() { repeat(ctx, "report sightings", reportInterval, s.report) })
+	running.Go(func() { repeat(ctx, "take sightings", newsInterval, s.take) })
 	running.Wait()
 }
 
 // repeat runs the step again and again, with a pause between.
-func (s *Sharer) repeat(ctx context.Context, task string, step func(ctx context.Context)) {
+func repeat(ctx context.Context, task string, interval time.Duration, step func(ctx context.Context)) {
 	for ctx.Err() == nil {
 		func() {
 			defer panics.Recover(task, nil)
@@ -218,9 +220,10 @@
 func (s *Sharer) post(from fleet.InstanceID, sightings []Sighting, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.board.Post(from, sightings, now)
-	close(s.posted)
-	s.posted = make(chan struct{})
+	if s.board.Post(from, sightings, now) {
+		close(s.posted)
+		s.posted = make(chan struct{})
+	}
 }
 
 // news returns what the own board has for an instance, waiting up to longestWait for something.
--- a/internal/sighting/sighting.go
+++ b/internal/sighting/sighting.go
@@ -30,9 +30,19 @@
 	mostSightings = 3000
 )
 
-// Board collects sightings in the order of their arrival. It does no I/O and is not safe for concurrent use.
+const (
+	// confirmAfter and confirmWithin are the times between two sends that went badly that show that a replica is in trouble.
+	// Sends that wait for the end of one pause end together, and news of a pause would come when it is over.
+	confirmAfter  = 60 * time.Millisecond
+	confirmWithin = time.Second
+)
+
+// Board collects sightings in the order of their arrival and passes on those that another one confirms. It does no I/O and is
+// not safe for concurrent use.
 type Board struct {
 	kept []posted
+	// last is when the last send to a replica ended that went badly.
+	last map[fleet.ServerID]time.Time
 	// next is the position of the next sighting. Positions rise as long as the process runs.
 	next uint64
 }
@@ -43,19 +53,41 @@
 	Sighting
 }
 
-// Post adds sightings of an instance and drops those that are too old or too many.
-func (b *Board) Post(from fleet.InstanceID, sightings []Sighting, now time.Time) {
+// Post adds sightings of an instance and drops those that are too old or too many. It tells whether there is something to pass
+// on.
+func (b *Board) Post(from fleet.InstanceID, sightings []Sighting, now time.Time) bool {
+	former := b.next
 	for _, s := range sightings {
-		if now.Sub(s.At) < memory {
+		if now.Sub(s.At) < memory && b.confirmed(s) {
 			b.kept = append(b.kept, posted{b.next, from, s})
 			b.next++
 		}
 	}
+	if len(b.last) > mostSightings {
+		b.last = nil
+	}
 	drop := max(0, len(b.kept)-mostSightings)
 	for drop < len(b.kept) && now.Sub(b.kept[drop].At) >= memory {
 		drop++
 	}
 	b.kept = b.kept[drop:]
+	return b.next > former
+}
+
+// confirmed tells whether another send went badly some time before or after.
+func (b *Board) confirmed(s Sighting) bool {
+	last, known := b.last[s.Replica]
+	if b.last == nil {
+		b.last = make(map[fleet.ServerID]time.Time)
+	}
+	apart := s.At.Sub(last).Abs()
+	if known && apart < confirmAfter {
+		return false
+	}
+	if s.At.After(last) {
+		b.last[s.Replica] = s.At
+	}
+	return known && apart <= confirmWithin
 }
 
 // Since returns the sightings from a position on that other instances posted, and the position to go on from. A position
