Bound what a replica, a caller and a peer can make the process hold

Cause (tried on by the issue, each now a test): interim answers without end kept a request reading until its deadline, because each renewed the bound of 64 KiB; 180 answers of 7 MB brought the process to 1.5 GB; a second copy of a rejection was taken for the answer to the same request sent again on the same connection, so that a caller was told "not run" while the replica worked; an answer without the request's id left the connection in use; a panic in a send, in a method for peers or while following the store ended the process. Ruled out: counting whole fan-outs in the account, because of each part only the records are kept that can be in the answer. Peers are not authenticated yet.

Also: an instance that starts asks a peer which replicas are leaving or gone.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -6,19 +6,18 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
 	"syscall"
 	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/memory"
 )
 
 // readBuffer holds a usual answer whole, so that one read fetches it.
 const readBuffer = 4 << 10
 
-var errTooLong = errors.New("answer is longer than 8 MiB")
-
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
@@ -28,6 +27,8 @@
 	// lastRead is when the last byte was read, or when the connection was opened.
 	lastRead time.Time
 	reused   bool
+	// carried is the id of the request sent last, where its sender gave one.
+	carried string
 	// asked is the request in progress where its method bears on the answer's body; nil stands for GET.
 	asked *http.Request
 }
@@ -64,7 +65,19 @@
 
 // read fetches one whole response. A response that ends early is an error.
 func (c *conn) read(done *exchange) {
-	c.bounds.left = maxHeaderBytes
+	c.allowHead()
+	c.readNext(done, maxAnswerBytes, unreserved)
+}
+
+// unreserved takes memory that no account counts.
+func unreserved(int) bool { return true }
+
+// allowHead renews what may be read beside a body.
+func (c *conn) allowHead() { c.bounds.left = maxHeaderBytes }
+
+// readNext fetches one whole response with a body of at most the given length, within what is left beside it. reserve is asked
+// before a large body is held.
+func (c *conn) readNext(done *exchange, mostBody int64, reserve func(bytes int) bool) {
 	if _, err := c.reader.Peek(1); err != nil {
 		done.err = err
 		return
@@ -76,8 +89,10 @@
 		return
 	}
 	done.status, done.header = response.StatusCode, response.Header
-	c.bounds.left += maxAnswerBytes
-	if done.body, done.err = readBody(response); done.err != nil {
+	if done.status >= http.StatusOK {
+		c.bounds.left += mostBody
+	}
+	if done.body, done.err = memory.ReadAll(response.Body, response.ContentLength, mostBody, reserve); done.err != nil {
 		// Closing the body would wait for the rest of it, and the connection is closed anyway.
 		return
 	}
@@ -86,26 +101,6 @@
 	done.closing = response.Close || c.reader.Buffered() > 0
 }
 
-func readBody(response *http.Response) ([]byte, error) {
-	length := response.ContentLength
-	if length > maxAnswerBytes {
-		return nil, errTooLong
-	}
-	if length >= 0 {
-		body := make([]byte, length)
-		_, err := io.ReadFull(response.Body, body)
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errTooLong
-	}
-	return body, err
-}
-
 // isOpen looks without waiting whether the peer has closed the idle connection or sent bytes that nobody
 // asked for. It finds most stale connections before a byte is written, which keeps the verdict at "not run".
 func (c *conn) isOpen() bool {
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -38,9 +38,16 @@
 	// Render appends the request to the buffer. left is the time until the deadline at the moment of the write.
 	Render func(buffer []byte, left time.Duration) []byte
 	// Mine tells whether an answer belongs to this request. An answer that does not is skipped: it is a second answer
-	// to an earlier request on the connection.
-	Mine     func(header http.Header) bool
+	// to an earlier request on the connection. With one that is not sure the connection is closed.
+	Mine     func(header http.Header) (mine, sure bool)
 	Deadline time.Time
+	// ID is set where a second answer to an earlier send of the same request must not be taken for this one's: the request is
+	// not sent on a connection that has carried it.
+	ID string
+	// MostBody is the longest body of an answer, in bytes; 0 for the bound of all answers.
+	MostBody int64
+	// Reserve is asked before a large body is held; nil for no account.
+	Reserve func(bytes int) bool
 }
 
 // Answer is a whole HTTP response.
@@ -93,7 +100,7 @@
 // time. The error's verdict is NotRun only if no byte was written. The end of ctx closes the connection.
 func (r *Relay) Do(ctx context.Context, server fleet.Server, limit int, message *Message) (Answer, *verdict.Error) {
 	p := r.pools.of(server)
-	c, failure := r.connect(ctx, p, server, limit, message.Deadline)
+	c, failure := r.connect(ctx, p, server, limit, message)
 	if failure != nil {
 		return Answer{}, failure
 	}
@@ -103,6 +110,7 @@
 		p.put(c, limit)
 		return Answer{}, verdict.New(verdict.NotRun, verdict.DeadlinePassed, "no time left to send")
 	}
+	c.carried = message.ID
 	done := r.exchange(ctx, c, message, left)
 	if done.err != nil {
 		p.drop(c)
@@ -131,7 +139,7 @@
 }
 
 // connect returns an idle connection that looks alive, or a new one.
-func (r *Relay) connect(ctx context.Context, p *pool, server fleet.Server, limit int, deadline time.Time) (*conn, *verdict.Error) {
+func (r *Relay) connect(ctx context.Context, p *pool, server fleet.Server, limit int, message *Message) (*conn, *verdict.Error) {
 	for {
 		c, reserved := p.take(limit)
 		if c == nil && !reserved {
@@ -140,12 +148,15 @@
 		if c == nil {
 			break
 		}
-		if fresh := c.idleFor == 0 || time.Since(c.lastRead) < c.idleFor; fresh && c.isOpen() {
+		fresh := c.idleFor == 0 || time.Since(c.lastRead) < c.idleFor
+		carried := message.ID != "" && c.carried == message.ID
+		if fresh && !carried && c.isOpen() {
 			c.reused = true
 			return c, nil
 		}
 		p.drop(c)
 	}
+	deadline := message.Deadline
 	if latest := time.Now().Add(relayConnectTimeout); deadline.After(latest) {
 		deadline = latest
 	}
@@ -215,16 +226,28 @@
 	return done
 }
 
-// read fetches the answer to this request and skips those to others.
+// read fetches the answer to this request and skips those to others. Interim answers share one bound, so that a server cannot
+// go on with them.
 func (r *Relay) read(c *conn, message *Message, done *exchange) {
+	most, reserve := message.MostBody, message.Reserve
+	if most <= 0 {
+		most = maxAnswerBytes
+	}
+	if reserve == nil {
+		reserve = unreserved
+	}
 	for skipped := 0; ; skipped++ {
-		c.read(done)
+		c.allowHead()
+		c.readNext(done, most, reserve)
 		for done.err == nil && done.status < http.StatusOK {
-			c.read(done)
+			c.readNext(done, most, reserve)
+		}
+		if done.err != nil {
+			return
 		}
-		if done.err != nil || message.Mine(done.header) {
+		if mine, sure := message.Mine(done.header); mine {
 			// Nothing is known of what follows after an answer that nobody asked for.
-			done.closing = done.closing || skipped > 0
+			done.closing = done.closing || skipped > 0 || !sure
 			return
 		}
 		r.skipped.Add(1)
--- a/internal/backend/relay_test.go
+++ b/internal/backend/relay_test.go
@@ -73,7 +73,7 @@
 		Render: func(buffer []byte, _ time.Duration) []byte {
 			return append(buffer, "GET / HTTP/1.1\r\nHost: h\r\nId: "+id+"\r\n\r\n"...)
 		},
-		Mine: func(header http.Header) bool { return header.Get("Id") == id },
+		Mine: func(header http.Header) (mine, sure bool) { return header.Get("Id") == id, true },
 	}
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -16,6 +16,7 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/directory"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/panics"
 )
 
 // ErrHistoryGone is the error of Changes where the store no longer has the history after a revision.
@@ -33,6 +34,7 @@
 // Peers asks other instances for news.
 type Peers interface {
 	News(ctx context.Context, address string, after uint64, wait time.Duration) (News, error)
+	Departures(ctx context.Context, address string) ([]directory.Departure, error)
 }
 
 const (
@@ -77,6 +79,8 @@
 	// The rest is used by Run only.
 	listed   bool
 	failures int
+	// recalls counts the calls for departures since the start.
+	recalls int
 	// direct is when the store answered this instance last, before the failures in progress.
 	direct time.Time
 	// passed maps peers to the time until which they are not asked.
@@ -107,7 +111,7 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		f.sleep(ctx, f.untilExpiry(f.round(ctx)))
+		f.sleep(ctx, f.untilExpiry(f.safeRound(ctx)))
 		f.dropLapsed()
 	}
 }
@@ -139,6 +143,15 @@
 	}
 }
 
+// safeRound is round, but for a panic over what the store or a peer said. What is known by then is listed again.
+func (f *Follower) safeRound(ctx context.Context) (pause time.Duration) {
+	defer panics.Recover("follow the store", func() {
+		f.listed = false
+		pause = longestRetry
+	})
+	return f.round(ctx)
+}
+
 // round asks the source of this instance and returns the pause before the next round.
 func (f *Follower) round(ctx context.Context) time.Duration {
 	now := time.Now()
@@ -215,6 +228,7 @@
 	f.heard(time.Now())
 	f.listed = true
 	f.take(changes, true, revision, 0)
+	f.recall(ctx)
 	return nil
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -191,6 +191,20 @@
 	return peer.News(ctx, after, wait), nil
 }
 
+func (i *instances) Departures(ctx context.Context, address string) ([]directory.Departure, error) {
+	i.mutex.Lock()
+	peer, silent := i.running[fleet.InstanceID(address)], i.silent[fleet.InstanceID(address)]
+	i.mutex.Unlock()
+	if peer == nil {
+		return nil, errDown
+	}
+	if silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return peer.Departures(), nil
+}
+
 func (i *instances) start(ctx context.Context, self directory.Instance, s *store) {
 	l := &storeLink{store: s}
 	f := New(Options{
--- a/internal/lookup/attempt.go
+++ b/internal/lookup/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/medlarlatch/medlarlatch/internal/panics"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
@@ -33,7 +34,7 @@
 	e.counters.Sends.Add(1)
 	connections := e.connections(g)
 	go func() {
-		outcome := e.sender.Send(ctx, request, a.to.Replica, connections)
+		outcome := e.send(ctx, request, a.to, usual, connections)
 		now := time.Now()
 		e.share(a.to, a.to.load.end(a.number, now, &outcome), now)
 		e.recordSend(a.to, outcome.Reason, now.Sub(a.sent))
@@ -46,3 +47,22 @@
 		deliver <- arrival{shard, a, outcome}
 	}()
 }
+
+// send calls the sender. Of a part only those records are kept that can be in the answer, so that its memory is given back at
+// once. A panic on the way is a failure of this send only, and promises nothing.
+func (e *Engine) send(ctx context.Context, request *Request, to *member, usual *pace, connections int) (outcome Outcome) {
+	defer panics.Recover("send", func() {
+		outcome = Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.BadAnswer, Detail: "unexpected error"}
+	})
+	if len(request.Route.Shards) == 0 {
+		return e.sender.Send(ctx, request, to.Replica, Bounds{Connections: connections, Reserve: request.Memory.Take})
+	}
+	held := e.memory.Open()
+	defer held.Close()
+	outcome = e.sender.Send(ctx, request, to.Replica, Bounds{Connections: connections, BodyBytes: usual.parts.bound(), Reserve: held.Take})
+	if outcome.Reason == verdict.None {
+		usual.parts.observe(len(outcome.Body))
+	}
+	outcome.Body = greatest(outcome.Body, request.Route.Keep)
+	return outcome
+}
--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/memory"
 	"github.com/medlarlatch/medlarlatch/internal/routing"
 	"github.com/medlarlatch/medlarlatch/internal/sighting"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
@@ -38,6 +39,8 @@
 	Seen func(sighting.Sighting)
 	// Extra bounds the sends beyond the first of each request, for each service over all instances.
 	Extra Allowance
+	// Memory is the account of what answers hold; nil for none.
+	Memory *memory.Account
 	// Forget is called for each replica that is gone; it may be nil.
 	Forget func(fleet.ServerID)
 	Random *rand.Rand
@@ -55,6 +58,7 @@
 	recorder  Recorder
 	seen      func(sighting.Sighting)
 	extra     atomic.Pointer[Allowance]
+	memory    *memory.Account
 	forgotten func(fleet.ServerID)
 	started   time.Time
 	plan      atomic.Pointer[plan]
@@ -81,6 +85,7 @@
 		sender:    options.Sender,
 		recorder:  options.Recorder,
 		seen:      options.Seen,
+		memory:    options.Memory,
 		forgotten: options.Forget,
 		started:   time.Now(),
 		loads:     make(map[fleet.ServerID]known),
@@ -175,6 +180,9 @@
 		return Result{Failure: verdict.New(verdict.NotRun, verdict.Overloaded, "%d requests in progress", mostRequests).WithRetryAfter(retryAfter)}
 	}
 	defer e.running.Add(-1)
+	if e.memory.Full() {
+		return Result{Failure: verdict.New(verdict.NotRun, verdict.Overloaded, "no memory left for answers").WithRetryAfter(retryAfter)}
+	}
 	if len(request.Route.Shards) > 0 {
 		return newFanout(ctx, e, request).run()
 	}
--- a/internal/lookup/fake_test.go
+++ b/internal/lookup/fake_test.go
@@ -53,7 +53,7 @@
 	ended  int // calls ended by their context
 }
 
-func (b *backends) Send(ctx context.Context, request *Request, to directory.Replica, _ int) Outcome {
+func (b *backends) Send(ctx context.Context, request *Request, to directory.Replica, _ Bounds) Outcome {
 	b.mutex.Lock()
 	b.sends[to.ID]++
 	b.all = append(b.all, to.ID)
--- a/internal/lookup/gate_test.go
+++ b/internal/lookup/gate_test.go
@@ -38,7 +38,7 @@
 	return q.slots[id]
 }
 
-func (q *queueing) Send(ctx context.Context, request *Request, to directory.Replica, _ int) Outcome {
+func (q *queueing) Send(ctx context.Context, request *Request, to directory.Replica, _ Bounds) Outcome {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	slots := q.slotsOf(to.ID, to.Slots)
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -14,6 +14,7 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/directory"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/memory"
 	"github.com/medlarlatch/medlarlatch/internal/routing"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
@@ -28,6 +29,8 @@
 	Left time.Duration
 	// Deadline is when the caller, or the route, gives the request up.
 	Deadline time.Time
+	// Memory is what the request and its answer hold until the answer is written; nil for no account.
+	Memory *memory.Reservation
 	// Call is what the Sender sends; this package does not look into it.
 	Call any
 }
@@ -35,7 +38,17 @@
 // Sender carries a request to one replica.
 type Sender interface {
 	// Send waits for the whole answer. The end of ctx or the deadline ends the call. It sends nothing twice.
-	Send(ctx context.Context, request *Request, to directory.Replica, connections int) Outcome
+	Send(ctx context.Context, request *Request, to directory.Replica, bounds Bounds) Outcome
+}
+
+// Bounds are those of one send.
+type Bounds struct {
+	// Connections is the most connections to the replica.
+	Connections int
+	// BodyBytes is the longest body of the answer; 0 for the sender's own bound.
+	BodyBytes int64
+	// Reserve takes memory for a large body; nil for no account.
+	Reserve func(bytes int) bool
 }
 
 // Recorder counts what the engine did, for the metrics. It must not block.
--- a/internal/lookup/merge.go
+++ b/internal/lookup/merge.go
@@ -20,6 +20,17 @@
 	return best
 }
 
+// largePart is the size from which only the greatest records of a part are kept.
+const largePart = 4 << 10
+
+// greatest returns a part without the records that cannot be among the greatest of any answer.
+func greatest(part []byte, keep int) []byte {
+	if len(part) <= largePart {
+		return part
+	}
+	return merge([][]byte{part}, keep)
+}
+
 // insert puts the record at its place among the best in falling order and drops the least beyond keep.
 func insert(best, record []byte, keep int) []byte {
 	full := len(best) == keep*recordSize
--- a/internal/lookup/pace.go
+++ b/internal/lookup/pace.go
@@ -34,6 +34,7 @@
 	mean atomic.Int64
 	// alone is the time of a send that finds a free slot.
 	alone undisturbed
+	parts partSizes
 	// given is what callers give their requests.
 	given budgets
 }
--- a/internal/lookup/reach.go
+++ b/internal/lookup/reach.go
@@ -10,6 +10,7 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/directory"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/panics"
 	"github.com/medlarlatch/medlarlatch/internal/routing"
 )
 
@@ -143,12 +144,17 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			e.judgeZones(ctx, prober, now)
-			e.probe(ctx, prober, now)
+			e.watch(ctx, prober, now)
 		}
 	}
 }
 
+func (e *Engine) watch(ctx context.Context, prober Prober, now time.Time) {
+	defer panics.Recover("watch the reach", nil)
+	e.judgeZones(ctx, prober, now)
+	e.probe(ctx, prober, now)
+}
+
 // judgeZones takes every replica of a zone that is cut off for silent at once, instead of one after the other as each
 // lets a request wait in vain.
 func (e *Engine) judgeZones(ctx context.Context, prober Prober, now time.Time) {
@@ -209,9 +215,12 @@
 
 func (e *Engine) startProbe(ctx context.Context, prober Prober, m *member) {
 	go func() {
+		reached := false
+		defer func() { m.load.endProbe(time.Now(), reached) }()
+		defer panics.Recover("probe", nil)
 		bounded, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		m.load.endProbe(time.Now(), prober.Probe(bounded, m.Replica) == nil)
+		reached = prober.Probe(bounded, m.Replica) == nil
 	}()
 }
 
--- a/internal/lookup/sightings.go
+++ b/internal/lookup/sightings.go
@@ -56,7 +56,7 @@
 	was := l.toldSlowness.now(s.At, slownessMemory)
 	l.toldSlowness.observe(latest(s.At, l.toldSlowness.at), min(s.Slowness, mostSlowness)-1, slownessMemory)
 	if was < slowState && l.toldSlowness.value >= slowState {
-		klog.V(1).InfoS("Replica slow by others' word", "replica", l.id, "slowness", l.toldSlowness.value, "own", l.slowness.now(s.At, slownessMemory))
+		klog.InfoS("Replica reported slow", "replica", l.id, "from", s.From, "slowness", l.toldSlowness.value, "own", l.slowness.now(s.At, slownessMemory))
 	}
 }
 
--- a/internal/lookup/sightings_test.go
+++ b/internal/lookup/sightings_test.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -48,10 +48,15 @@
 			stages = append(stages, s)
 		}
 		var board sighting.Board
+		var posting sync.Mutex
 		position := uint64(0)
 		for _, s := range stages {
 			if sharing {
-				s.engine.seen = func(seen sighting.Sighting) { board.Post("", []sighting.Sighting{seen}, time.Now()) }
+				s.engine.seen = func(seen sighting.Sighting) {
+					posting.Lock()
+					defer posting.Unlock()
+					board.Post("", []sighting.Sighting{seen}, time.Now())
+				}
 			}
 		}
 		random := rand.New(rand.NewPCG(3, 4))
@@ -63,9 +68,10 @@
 			s := stages[random.IntN(len(stages))]
 			go func() { s.run(s.fan) }()
 			time.Sleep(50 * time.Millisecond)
-			synctest.Wait() // the board is not safe for concurrent use
+			posting.Lock()
 			var news []sighting.Sighting
 			news, position = board.Since(position, "other", time.Now())
+			posting.Unlock()
 			for _, other := range stages {
 				other.engine.Told(news)
 			}
@@ -134,7 +140,5 @@
 }
 
 func watchOnce(e *Engine) {
-	now := time.Now()
-	e.judgeZones(context.Background(), nil, now)
-	e.probe(context.Background(), nil, now)
+	e.watch(context.Background(), nil, time.Now())
 }
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/medlarlatch/medlarlatch/internal/panics"
 )
 
 // ErrLeaseEnded is the error of Renew and Put for a lease that the store no longer has.
@@ -26,6 +28,8 @@
 	Renew(ctx context.Context, lease uint64) error
 }
 
+var errPanicked = errors.New("the call panicked")
+
 const (
 	// lasting is how long an entry outlives the last renewal, unless the store's shortest lease is longer. The count of
 	// instances may be too high for that long, which only leaves shares unused.
@@ -71,7 +75,8 @@
 }
 
 // round takes the next step: a lease, the entry under it, or a renewal.
-func (k *Keeper) round(ctx context.Context) error {
+func (k *Keeper) round(ctx context.Context) (err error) {
+	defer panics.Recover("keep the registration", func() { err = errPanicked })
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if k.lease == 0 {
--- a/internal/sighting/message.go
+++ b/internal/sighting/message.go
@@ -14,10 +14,11 @@
 
 // sightingMessage is a Sighting with an age in place of a time, because instances share no clock.
 type sightingMessage struct {
-	Replica   fleet.ServerID `json:"replica"`
-	Born      int64          `json:"born"`
-	Slowness  float64        `json:"slowness,omitempty"`
-	AgeMillis int64          `json:"age-millis"`
+	Replica   fleet.ServerID   `json:"replica"`
+	Born      int64            `json:"born"`
+	Slowness  float64          `json:"slowness,omitempty"`
+	AgeMillis int64            `json:"age-millis"`
+	From      fleet.InstanceID `json:"from,omitempty"`
 }
 
 type reportRequest struct {
@@ -38,7 +39,7 @@
 func encode(sightings []Sighting, now time.Time) []sightingMessage {
 	messages := make([]sightingMessage, len(sightings))
 	for i, s := range sightings {
-		messages[i] = sightingMessage{s.Replica, s.Born, s.Slowness, max(0, now.Sub(s.At).Milliseconds())}
+		messages[i] = sightingMessage{s.Replica, s.Born, s.Slowness, max(0, now.Sub(s.At).Milliseconds()), s.From}
 	}
 	return messages
 }
@@ -50,7 +51,7 @@
 		if m.AgeMillis < 0 || m.AgeMillis >= memory.Milliseconds() || m.Slowness < 0 {
 			continue
 		}
-		sightings = append(sightings, Sighting{m.Replica, m.Born, m.Slowness, now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)})
+		sightings = append(sightings, Sighting{m.Replica, m.Born, m.Slowness, now.Add(-time.Duration(m.AgeMillis) * time.Millisecond), m.From})
 	}
 	return sightings
 }
--- a/internal/sighting/sharer_test.go
+++ b/internal/sighting/sharer_test.go
@@ -121,7 +121,7 @@
 				z.mutex.Lock()
 				z.silent[board.Peers] = true
 				z.mutex.Unlock()
-				time.Sleep(2*(longestWait+replyTimeout)) // the calls in progress end, and the next ones fail
+				time.Sleep(2 * (longestWait + replyTimeout)) // the calls in progress end, and the next ones fail
 				see("r2")
 				time.Sleep(500 * time.Millisecond)
 				is.True(z.heard("r2") >= size-2) // nor the board, to which nobody can speak
--- a/internal/sighting/sighting.go
+++ b/internal/sighting/sighting.go
@@ -21,6 +21,8 @@
 	Slowness float64
 	// At is when the send ended.
 	At time.Time
+	// From is the instance that sent; the board fills it in.
+	From fleet.InstanceID
 }
 
 const (
@@ -49,7 +51,6 @@
 
 type posted struct {
 	position uint64
-	from     fleet.InstanceID
 	Sighting
 }
 
@@ -59,7 +60,8 @@
 	former := b.next
 	for _, s := range sightings {
 		if now.Sub(s.At) < memory && b.confirmed(s) {
-			b.kept = append(b.kept, posted{b.next, from, s})
+			s.From = from
+			b.kept = append(b.kept, posted{b.next, s})
 			b.next++
 		}
 	}
@@ -98,7 +100,7 @@
 	}
 	var news []Sighting
 	for i := range b.kept {
-		if p := &b.kept[i]; p.position >= position && p.from != to && now.Sub(p.At) < memory {
+		if p := &b.kept[i]; p.position >= position && p.From != to && now.Sub(p.At) < memory {
 			news = append(news, p.Sighting)
 		}
 	}
