Serve what the kernel has accepted before a stop

Cause: a stop closed the listener of callers at once. Connections that the kernel had accepted and the process had not, with requests on them, were reset: under load, and wherever the balancer goes on sending callers because fewer than half of a zone's instances are ready. Ruled out: leaving the listener open until the grace time ends, which keeps every stopped instance away twice as long. Change: the listener is accepted from for 50 ms more, and the servers stop after they know of every connection.

--- a/internal/httpapi/limited.go
+++ b/internal/httpapi/limited.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,10 @@
 // acceptRetry is the pause after a connection could not be accepted, most often because no descriptor is free.
 const acceptRetry = 20 * time.Millisecond
 
+// acceptLast is how long a stop goes on accepting what the kernel has accepted already: closing the listener would reset those
+// connections, and callers may have sent requests on them.
+const acceptLast = 50 * time.Millisecond
+
 // Limits bound what a caller may send and how long a connection may wait.
 type Limits struct {
 	HeaderBytes   int
@@ -28,11 +33,13 @@
 type LimitedServer struct {
 	handler http.Handler
 
-	mutex      sync.Mutex
-	limits     Limits
-	current    *generation
-	former     map[*generation]struct{}
-	listener   net.Listener
+	mutex    sync.Mutex
+	limits   Limits
+	current  *generation
+	former   map[*generation]struct{}
+	listener net.Listener
+	// accepted is closed when Serve has ended; nil before it began.
+	accepted   chan struct{}
 	stopped    bool
 	background sync.WaitGroup
 }
@@ -116,8 +123,10 @@
 func (s *LimitedServer) Serve(listener net.Listener) error {
 	s.mutex.Lock()
 	s.listener = listener
+	s.accepted = make(chan struct{})
 	stopped := s.stopped
 	s.mutex.Unlock()
+	defer close(s.accepted)
 	if stopped {
 		return errors.Join(http.ErrServerClosed, listener.Close())
 	}
@@ -126,7 +135,7 @@
 		switch {
 		case err == nil:
 			s.hand(connection)
-		case errors.Is(err, net.ErrClosed):
+		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return http.ErrServerClosed
 		default:
 			klog.InfoS("Connection not accepted", "err", err)
@@ -168,16 +177,30 @@
 	return servers, err
 }
 
+// acceptRest accepts what the kernel has accepted until now, and ends accepting.
+func (s *LimitedServer) acceptRest() {
+	s.mutex.Lock()
+	listener, accepted := s.listener, s.accepted
+	s.mutex.Unlock()
+	limited, ok := listener.(interface{ SetDeadline(at time.Time) error })
+	if !ok || limited.SetDeadline(time.Now().Add(acceptLast)) != nil {
+		return
+	}
+	<-accepted
+}
+
 // Shutdown ends accepting and waits until the requests in progress have their answers, or ctx ends.
 func (s *LimitedServer) Shutdown(ctx context.Context) error {
+	s.acceptRest()
 	servers, err := s.stop()
+	// Connections are known to their server once it has ended accepting.
+	s.background.Wait()
 	failures := make([]error, len(servers))
 	var ending sync.WaitGroup
 	for i, server := range servers {
 		ending.Go(func() { failures[i] = server.Shutdown(ctx) })
 	}
 	ending.Wait()
-	s.background.Wait()
 	return errors.Join(append(failures, ignoreClosed(err))...)
 }
 
--- a/internal/httpapi/limited_test.go
+++ b/internal/httpapi/limited_test.go
@@ -173,3 +173,34 @@
 	_, err := net.Dial("tcp", address)
 	is.True(err != nil)
 }
+
+// TestShutdownServesWhatTheKernelAccepted guards against a planned stop under load that cuts requests which callers had sent on
+// connections that the process had not yet come to accept: closing the listener resets all of them.
+func TestShutdownServesWhatTheKernelAccepted(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := NewLimitedServer(http.HandlerFunc(answering), Limits{IdleTimeout: time.Minute})
+	got := make(chan error, 50)
+	for range cap(got) {
+		connection := dial(t, listener.Addr().String())
+		go func() {
+			_, err := exchangeOver(t, connection, "")
+			got <- err
+		}()
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }() // only now are they accepted
+	for began := false; !began; time.Sleep(time.Microsecond) {
+		server.mutex.Lock()
+		began = server.listener != nil
+		server.mutex.Unlock()
+	}
+	bounded, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	is.NoErr(server.Shutdown(bounded))
+	for range cap(got) {
+		is.NoErr(<-got)
+	}
+	is.Equal(<-ended, http.ErrServerClosed)
+}
