--- a/internal/lookup/sightings.go
+++ b/internal/lookup/sightings.go
@@ -5,6 +5,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/internal/sighting"
 )
 
@@ -38,26 +39,31 @@
 func (e *Engine) Told(sightings []sighting.Sighting) {
 	e.updating.Lock()
 	defer e.updating.Unlock()
+	var slow []fleet.ServerID
 	for _, s := range sightings {
-		if known := e.loads[s.Replica]; known.load != nil && known.replica.Born == s.Born {
-			known.load.told(s)
+		if known := e.loads[s.Replica]; known.load != nil && known.replica.Born == s.Born && known.load.told(s) {
+			slow = append(slow, s.Replica)
 		}
 	}
+	if len(slow) > 0 {
+		klog.InfoS("Replicas reported slow", "count", len(slow), "replicas", slow[:min(len(slow), mostNamed)], "from", sightings[len(sightings)-1].From)
+	}
 }
 
-// told records what another instance saw.
-func (l *load) told(s sighting.Sighting) {
+// mostNamed bounds the replicas that one line names.
+const mostNamed = 8
+
+// told records what another instance saw. It tells whether the replica counts as slow from now on.
+func (l *load) told(s sighting.Sighting) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if s.Slowness == 0 {
 		l.toldRejects.observe(latest(s.At, l.toldRejects.at), 1, rejectMemory)
-		return
+		return false
 	}
 	was := l.toldSlowness.now(s.At, slownessMemory)
 	l.toldSlowness.observe(latest(s.At, l.toldSlowness.at), min(s.Slowness, mostSlowness)-1, slownessMemory)
-	if was < slowState && l.toldSlowness.value >= slowState {
-		klog.InfoS("Replica reported slow", "replica", l.id, "from", s.From, "slowness", l.toldSlowness.value, "own", l.slowness.now(s.At, slownessMemory))
-	}
+	return was < slowState && l.toldSlowness.value >= slowState
 }
 
 // latest keeps the time of a smoothed value from going back: sightings of several instances come out of order.
