Refuse a share of a crowd before shards that have lost replicas; divide bounds among many instances

Three decisions that thin out with the number of instances, each with its test:

A crowd before shards of which a few have lost replicas. Cause: the gate judges by early answers, which come from the shards that have room, and limits requests in progress, of which each of 24 instances has one or two; every request is started and waits for the few shards that reject. Change: once half of the requests were late because of replicas that reject, a share is refused at once. A part is not hedged to a replica that rejects. Cold replicas: each of 118 instances could send one request a second to a replica that bears 8. Now only the first ones by rendezvous order of the replica send (TestColdRate fails with 9 instances and more without). 3. Extra sends after the first start of the whole system have their constant after 4 s and not after a window: no process before can have used it (TestExtraSendsAfterTheFirstStart).

--- a/internal/lookup/budget_test.go
+++ b/internal/lookup/budget_test.go
@@ -126,7 +126,7 @@
 		for start := range 4 {
 			if start > 0 {
 				s.engine = New(Options{Zone: "a", Sender: s.backends, Extra: allowed, Random: rand.New(rand.NewPCG(1, 2))})
-				s.engine.SetInstances(4)
+				s.engine.SetInstances("i0", named(4))
 				s.update(nil)
 			}
 			requests += len(s.load(s.fan, 20*time.Millisecond, 2*time.Second))
@@ -135,3 +135,24 @@
 		is.True(float64(arrivals) <= float64(requests)*(1+allowed.Ratio)+allowed.Extra/4)
 	})
 }
+
+// TestExtraSendsAfterTheFirstStart guards against a system whose first requests have no second replica: nobody can have used the
+// allowance before. It guards as well against a constant that instances take before they know of each other.
+func TestExtraSendsAfterTheFirstStart(t *testing.T) {
+	for name, test := range map[string]struct {
+		first bool
+		after time.Duration
+		want  float64
+	}{
+		"first start, not registered": {true, firstRegistrations / 2, 0},
+		"first start":                 {true, firstRegistrations, allowed.Extra / 4},
+		"later start":                 {false, firstRegistrations, 0},
+		"later start, a window later": {false, allowed.Window, allowed.Extra / 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := New(Options{Zone: "a", Extra: allowed, First: test.first, Random: rand.New(rand.NewPCG(1, 2))})
+			e.SetInstances("i0", named(4))
+			is.New(t).Equal(e.allowance(e.started.Add(test.after)).Extra, test.want)
+		})
+	}
+}
--- a/internal/lookup/compose.go
+++ b/internal/lookup/compose.go
@@ -10,6 +10,9 @@
 // after it, the first moment with enough parts is best, because lateness costs more than a missing part. Whether the floor
 // is still in reach is judged on ticks only, because it looks at every replica of the shards.
 func (f *fanout) ended(now time.Time, ticked bool) (Result, bool) {
+	if !now.Before(f.composeAt) {
+		f.judgeLoad(now)
+	}
 	switch {
 	case f.answered+f.failed == len(f.parts) && f.answered >= f.floor,
 		!now.Before(f.composeAt) && f.answered >= f.floor:
@@ -70,15 +73,36 @@
 	}
 }
 
+// judgeLoad tells the intake, once for each request, whether it will be late because its replicas have too much to do: without
+// the parts that were rejected, or that wait at replicas that reject others, it would have reached its floor. Parts that are late
+// for other reasons are no reason to let in less.
+func (f *fanout) judgeLoad(now time.Time) {
+	if f.judged || f.began.IsZero() {
+		return
+	}
+	f.judged = true
+	overloaded := 0
+	for i := range f.parts {
+		if f.answered < f.floor && f.parts[i].overloaded(now) {
+			overloaded++
+		}
+	}
+	f.gate.intake.observe(now, f.answered < f.floor && f.answered+overloaded >= f.floor)
+}
+
 // refuse ends the request without an answer; nobody waits for its parts any more.
 func (f *fanout) refuse(failure *verdict.Error) Result {
 	f.cancel()
 	f.judgeLate(time.Now())
+	if failure.Reason != verdict.Cancelled {
+		f.judgeLoad(time.Now())
+	}
 	f.missed()
 	return Result{Failure: failure, Trace: f.trace}
 }
 
 func (f *fanout) compose() Result {
+	f.judgeLoad(time.Now())
 	if f.gate.congested() {
 		f.cancel() // others need the slots
 	} else {
--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -25,6 +25,8 @@
 	linger = 40 * time.Millisecond
 	// defaultInstances stands for the number of entry instances until it is known.
 	defaultInstances = 8
+	// firstRegistrations is the time within which instances that start together have registered, and have heard of each other.
+	firstRegistrations = 4 * time.Second
 	// mostRequests bounds the requests in progress in one process; each holds its parts in memory.
 	mostRequests = 3000
 )
@@ -39,6 +41,8 @@
 	Seen func(sighting.Sighting)
 	// Extra bounds the sends beyond the first of each request, for each service over all instances.
 	Extra Allowance
+	// First is set where no process of this instance has run before, so that none can have used its part of the bounds.
+	First bool
 	// Memory is the account of what answers hold; nil for none.
 	Memory *memory.Account
 	// Forget is called for each replica that is gone; it may be nil.
@@ -61,16 +65,18 @@
 	memory    *memory.Account
 	forgotten func(fleet.ServerID)
 	started   time.Time
+	first     bool
 	plan      atomic.Pointer[plan]
-	instances atomic.Int64
-	draw      atomic.Uint64
-	running   atomic.Int64
-	tried     atomic.Int64 // Unix nanoseconds of the last request let through by mayTry
-	isolation isolation
-	reach     reach // used by the goroutine of WatchReach only
-	counters  Counters
-	paces     sync.Map // name of a route to *pace
-	gates     sync.Map // first shard of a route to *gate
+	// population is never nil.
+	population atomic.Pointer[population]
+	draw       atomic.Uint64
+	running    atomic.Int64
+	tried      atomic.Int64 // Unix nanoseconds of the last request let through by mayTry
+	isolation  isolation
+	reach      reach // used by the goroutine of WatchReach only
+	counters   Counters
+	paces      sync.Map // name of a route to *pace
+	gates      sync.Map // first shard of a route to *gate
 
 	// updating guards the states that outlive a plan.
 	updating sync.Mutex
@@ -88,13 +94,14 @@
 		memory:    options.Memory,
 		forgotten: options.Forget,
 		started:   time.Now(),
+		first:     options.First,
 		loads:     make(map[fleet.ServerID]known),
 		budgets:   make(map[fleet.ServiceID]*budget),
 		reach:     reach{doubtful: make(map[fleet.ZoneID]time.Time)},
 	}
 	e.SetExtra(options.Extra)
 	e.draw.Store(options.Random.Uint64())
-	e.instances.Store(defaultInstances)
+	e.population.Store(&population{count: defaultInstances})
 	e.plan.Store(&plan{})
 	return e
 }
@@ -102,20 +109,19 @@
 // Counters returns the engine's counters; they go on counting.
 func (e *Engine) Counters() *Counters { return &e.counters }
 
-// Instances returns the number of entry instances that bounds are divided among.
-func (e *Engine) Instances() int { return int(e.instances.Load()) }
-
-// SetInstances says how many entry instances there may be.
-func (e *Engine) SetInstances(count int) { e.instances.Store(int64(max(count, 1))) }
-
 // SetExtra replaces the bound on extra sends.
 func (e *Engine) SetExtra(allowed Allowance) { e.extra.Store(&allowed) }
 
 // allowance returns this instance's part of the bound on extra sends. In the first window after its start it has no part of the
-// constant, because the process before it may have used that up just before it ended.
+// constant, because the process before it may have used that up just before it ended. Without a process before it, it has its
+// part once all instances are known that started with it.
 func (e *Engine) allowance(now time.Time) Allowance {
 	allowed := *e.extra.Load()
-	if now.Sub(e.started) < allowed.Window {
+	without := allowed.Window
+	if e.first {
+		without = min(without, firstRegistrations)
+	}
+	if now.Sub(e.started) < without {
 		allowed.Extra = 0
 	}
 	return allowed.share(e.Instances())
@@ -155,7 +161,7 @@
 	if found, ok := e.gates.Load(route.Shards[0]); ok {
 		return found.(*gate)
 	}
-	fresh := &gate{name: route.Shards[0]}
+	fresh := &gate{name: route.Shards[0], intake: intake{name: route.Shards[0]}}
 	fresh.setSlots(e.slotsOf(e.plan.Load(), route.Shards[0]))
 	found, _ := e.gates.LoadOrStore(route.Shards[0], fresh)
 	return found.(*gate)
--- a/internal/lookup/fake_test.go
+++ b/internal/lookup/fake_test.go
@@ -125,7 +125,7 @@
 	s.engine = New(Options{
 		Zone: "a", Sender: b, Extra: allowed, Random: rand.New(rand.NewPCG(1, 2)),
 	})
-	s.engine.SetInstances(4)
+	s.engine.SetInstances("i0", named(4))
 	s.engine.started = time.Now().Add(-allowed.Window) // it has been running for a while
 	s.fan = &routing.Route{Name: "fan", Idempotent: true, Timeout: timeout, Objective: objective, Attempts: 2, Keep: 5, Floor: 0.8}
 	s.one = &routing.Route{
@@ -139,6 +139,15 @@
 	return s
 }
 
+// named returns the names of instances.
+func named(count int) []fleet.InstanceID {
+	all := make([]fleet.InstanceID, count)
+	for i := range all {
+		all[i] = fleet.InstanceID(fmt.Sprintf("i%d", i))
+	}
+	return all
+}
+
 func serviceOf(i int) fleet.ServiceID { return fleet.ServiceID(fmt.Sprintf("s%d", i)) }
 
 // update publishes a view without the replicas that skip names.
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -45,6 +45,7 @@
 	answered    int
 	failed      int
 	ran         bool
+	judged      bool
 	trace       Trace
 }
 
@@ -77,6 +78,9 @@
 	if refusal := f.reachable(now); refusal != nil {
 		return f.refuse(refusal)
 	}
+	if !f.gate.intake.admit() {
+		return f.refuse(refusedByGate())
+	}
 	work := float64(f.usual.alone.time())
 	if !f.gate.enter(f.ctx, work, time.Duration(waitShare*float64(f.request.Route.Objective))) {
 		return f.refuse(refusedByGate())
@@ -203,6 +207,7 @@
 	if a.outcome.Verdict == verdict.NotRun {
 		f.trace.Rejected++
 		p.mayRun--
+		p.shed = p.shed || a.outcome.Reason == verdict.Shedding
 	}
 	if p.live() {
 		return
@@ -298,7 +303,7 @@
 func (f *fanout) hedge(i int, now time.Time) {
 	p := &f.parts[i]
 	chosen, g := f.engine.choose(f.request.Route, p.service, p.tried, true, f.expected, now)
-	if chosen == nil {
+	if chosen == nil || chosen.load.rejecting(now) >= failingState {
 		return
 	}
 	paid, ok := f.take(p, g, now)
--- a/internal/lookup/gate.go
+++ b/internal/lookup/gate.go
@@ -67,6 +67,7 @@
 	// crowded is when a request found no place last.
 	crowded time.Time
 	queue   []*place
+	intake  intake
 }
 
 // place is a request that waits.
--- a/internal/lookup/gate_test.go
+++ b/internal/lookup/gate_test.go
@@ -62,7 +62,7 @@
 	s := newStage(t, nil)
 	q := &queueing{slots: make(map[fleet.ServerID]chan struct{}), random: rand.New(rand.NewPCG(3, 4))}
 	s.engine.sender = q
-	s.engine.SetInstances(1)
+	s.engine.SetInstances("i0", named(1))
 	const slots = 2 * 2 // of one shard
 	capacity := slots / (work.Seconds() * math.Exp(0.35*0.35/2))
 	every := time.Duration(float64(time.Second) / (capacity * times))
--- a/internal/lookup/load.go
+++ b/internal/lookup/load.go
@@ -112,6 +112,7 @@
 	case outcome.Reason == verdict.Cancelled || outcome.Reason == verdict.DeadlinePassed:
 		seen.ratio = l.unanswered(now, elapsed, ended)
 	case outcome.Reason == verdict.ConnectFailed:
+		seen.ratio = mostSlowness
 		l.suspectFor(now, outcome.Reason)
 	case outcome.Reason == verdict.Overloaded:
 		// Every connection of this instance is in use; nothing is learnt of the replica.
@@ -202,6 +203,13 @@
 	return now.Sub(since) > stallAfter(oldest.expected)
 }
 
+// rejecting returns the share of requests that the replica has lately rejected or failed, here or at another instance.
+func (l *load) rejecting(now time.Time) float64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return max(l.rejects.now(now, rejectMemory), l.toldRejects.now(now, rejectMemory))
+}
+
 // isStalled is stalled with the lock taken.
 func (l *load) isStalled(now time.Time) bool {
 	l.mutex.Lock()
@@ -254,9 +262,9 @@
 	return !l.misdirected && len(l.waiting) < connections, !now.Before(l.suspect) && !l.stalled(now)
 }
 
-// admitCold tells whether a cold replica that bears rate requests a second may get one more from this instance, and
-// counts it. The sum over the instances stays within the rate in any second.
-func (l *load) admitCold(now time.Time, rate float64, instances int) bool {
+// admitCold tells whether a cold replica may get one more request from this instance, which may send it limit of them a second,
+// and counts it.
+func (l *load) admitCold(now time.Time, limit int) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	kept := l.coldSends[:0]
@@ -266,7 +274,7 @@
 		}
 	}
 	l.coldSends = kept
-	if len(kept) >= max(1, int(rate/float64(max(instances, 1)))) {
+	if len(kept) >= limit {
 		return false
 	}
 	l.coldSends = append(kept, now)
@@ -334,6 +342,10 @@
 	defer l.mutex.Unlock()
 	l.probing = false
 	if !reached {
+		// No request has to find out that it is still silent.
+		if l.silent > 0 && !l.vouched {
+			l.suspect = latest(l.suspect, now.Add(longestSuspicion))
+		}
 		return
 	}
 	l.reached = now
--- a/internal/lookup/part.go
+++ b/internal/lookup/part.go
@@ -19,6 +19,7 @@
 	retryAt  time.Time
 	reason   verdict.Reason
 	starved  bool
+	shed     bool // a replica rejected it
 	// Most parts take one or two sends; room for them here spares allocations.
 	attemptRoom [2]*attempt
 	triedRoom   [2]*load
@@ -33,6 +34,19 @@
 	return false
 }
 
+// overloaded tells whether the part has no answer because its replicas have too much to do.
+func (p *part) overloaded(now time.Time) bool {
+	if p.answer != nil || p.shed {
+		return p.answer == nil
+	}
+	for _, a := range p.attempts {
+		if a.to.load.rejecting(now) >= strainedState {
+			return true
+		}
+	}
+	return false
+}
+
 // sound tells whether the part waits at a replica that is not silent, or has not waited for long: its send may be the one
 // that shows that the replica answers again.
 func (p *part) sound(now time.Time) bool {
--- a/internal/lookup/plan.go
+++ b/internal/lookup/plan.go
@@ -29,7 +29,9 @@
 type member struct {
 	directory.Replica
 	local bool
-	load  *load
+	// coldLimit is how many requests a second this instance may send to the replica while it is cold; below 0 without a limit.
+	coldLimit int
+	load      *load
 }
 
 // Update replaces the view. Replicas that it does not have get no new send once it returns. One goroutine at a time
@@ -37,6 +39,7 @@
 func (e *Engine) Update(view *directory.View) {
 	e.updating.Lock()
 	defer e.updating.Unlock()
+	now, instances := time.Now(), e.population.Load()
 	next := &plan{table: view.Table, groups: make(map[fleet.ServiceID]*group, len(view.Replicas))}
 	loads := make(map[fleet.ServerID]known, len(e.loads))
 	for id, replicas := range view.Replicas {
@@ -48,7 +51,11 @@
 			}
 			state.replica = replica
 			loads[replica.ID] = state
-			g.members = append(g.members, member{Replica: replica, local: replica.Zone == e.zone, load: state.load})
+			m := member{Replica: replica, local: replica.Zone == e.zone, coldLimit: -1, load: state.load}
+			if g.service.ColdRate > 0 && now.Before(replica.ColdUntil) {
+				m.coldLimit = instances.coldLimit(replica, g.service.ColdRate)
+			}
+			g.members = append(g.members, m)
 		}
 		next.add(g)
 	}
@@ -145,7 +152,7 @@
 		if best == nil {
 			return nil, g
 		}
-		if g.service.ColdRate <= 0 || !now.Before(best.ColdUntil) || best.load.admitCold(now, g.service.ColdRate, e.Instances()) {
+		if best.coldLimit < 0 || !now.Before(best.ColdUntil) || best.load.admitCold(now, best.coldLimit) {
 			return best, g
 		}
 		tried = append(tried[:len(tried):len(tried)], best.load) // a copy: the caller keeps its own
--- a/internal/lookup/single_test.go
+++ b/internal/lookup/single_test.go
@@ -1,6 +1,7 @@
 package lookup
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/medlarlatch/medlarlatch/internal/directory"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/internal/routing"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
@@ -129,24 +131,32 @@
 	})
 }
 
-// TestColdRate guards against cold replicas that get more requests in some second than they bear, summed over all
-// instances.
+// TestColdRate guards against cold replicas that get more requests in some second than they bear, summed over all instances,
+// however many there are, and against one that gets none.
 func TestColdRate(t *testing.T) {
-	const rate, instances = 8, 4
-	now := time.Now()
-	loads := make([]load, instances)
-	var sent []time.Duration
-	for at := time.Duration(0); at < 3*time.Second; at += 10 * time.Millisecond {
-		for i := range loads {
-			if loads[i].admitCold(now.Add(at), rate, instances) {
-				sent = append(sent, at)
+	const rate = 8
+	for _, instances := range []int{1, 4, 8, 9, 33, 118} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			now := time.Now()
+			loads, limits := make([]load, instances), make([]int, instances)
+			for i, self := range named(instances) {
+				p := population{self: self, all: named(instances), count: instances}
+				limits[i] = p.coldLimit(directory.Replica{ID: "r"}, rate)
 			}
-		}
-	}
-	is := is.New(t)
-	is.True(len(sent) > 2*rate)
-	for _, first := range sent {
-		is.True(within(sent, first, first+time.Second) <= rate)
+			var sent []time.Duration
+			for at := time.Duration(0); at < 3*time.Second; at += 10 * time.Millisecond {
+				for i := range loads {
+					if loads[i].admitCold(now.Add(at), limits[i]) {
+						sent = append(sent, at)
+					}
+				}
+			}
+			is := is.New(t)
+			is.True(len(sent) > 2*rate)
+			for _, first := range sent {
+				is.True(within(sent, first, first+time.Second) <= rate)
+			}
+		})
 	}
 }
 
--- a/internal/lookup/state.go
+++ b/internal/lookup/state.go
@@ -33,6 +33,9 @@
 	// or failing; choosing goes by the values themselves.
 	slowState    = 1
 	failingState = 0.3
+	// strainedState is the share of rejections from which a part that waits is taken to wait because its replica has too much to
+	// do: one rejection in the last half second.
+	strainedState = 0.1
 )
 
 func (l *load) state(now time.Time, cold bool) State {
