Start from peers while the store refuses an instance

Cause: an instance that starts knows no peer before the store's first list. Ruled out: addresses kept over a start, because instances have no disk. A peer that knows nothing itself is no longer learnt from. Test: TestStartWithoutTheStore (without the change an instance that starts has no replica until the store is back).

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -64,6 +64,9 @@
 	Self   directory.Instance
 	Source Source
 	Peers  Peers
+	// Seeds are addresses of instances that may be running. An instance that knows no peer yet asks them while the store does not
+	// answer it.
+	Seeds []string
 	// Pause is the time between two calls to the store.
 	Pause time.Duration
 	// Lapse is the time without a heartbeat after which the store drops a registration.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -205,10 +205,10 @@
 	return peer.Departures(), nil
 }
 
-func (i *instances) start(ctx context.Context, self directory.Instance, s *store) {
+func (i *instances) start(ctx context.Context, self directory.Instance, s *store, seeds ...string) {
 	l := &storeLink{store: s}
 	f := New(Options{
-		Self: self, Source: l, Peers: i, Pause: pause, Lapse: 3 * heartbeat, Random: rand.New(rand.NewPCG(1, uint64(len(self.ID)))),
+		Self: self, Source: l, Peers: i, Seeds: seeds, Pause: pause, Lapse: 3 * heartbeat, Random: rand.New(rand.NewPCG(1, uint64(len(self.ID)))),
 		Publish: func(v *directory.View) {
 			i.mutex.Lock()
 			defer i.mutex.Unlock()
--- a/internal/follow/recall_test.go
+++ b/internal/follow/recall_test.go
@@ -104,3 +104,36 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// TestStartWithoutTheStore guards against an instance that starts while the store refuses it, or is down, and serves nobody until
+// it is back, although other instances know everything.
+func TestStartWithoutTheStore(t *testing.T) {
+	for name, test := range map[string]struct {
+		seeds []string
+		want  int // replicas in use
+	}{
+		"a seed runs":      {[]string{"nobody", "i4", "i2"}, 5},
+		"no seed runs":     {[]string{"nobody", "i4"}, -1},
+		"a seed is silent": {[]string{"i1", "i2"}, 5},
+		"no seeds":         {nil, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, []fleet.InstanceID{"i1", "i2", "i3"}, func(is *is.I, s *store, i *instances) {
+				time.Sleep(3 * time.Second)
+				i.mutex.Lock()
+				i.silent["i1"] = true
+				i.mutex.Unlock()
+				s.set(func() { s.down = true })
+				ctx, stop := context.WithCancel(context.Background())
+				defer stop()
+				i.start(ctx, directory.Instance{ID: "i4", Zone: "a", Peers: "i4"}, s, test.seeds...)
+				time.Sleep(2500 * time.Millisecond)
+				is.Equal(i.replicas("i4"), test.want)
+				s.set(func() { s.down = false })
+				s.write(replica("r6"))
+				time.Sleep(4 * time.Second)
+				is.Equal(i.replicas("i4"), 6)
+			})
+		})
+	}
+}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -81,15 +82,10 @@
 }
 
 // askAnyone asks a peer of any zone for what it has, because the store does not answer this instance. It answers a store
-// that serves other machines, and a machine that is cut off from the store only.
+// that serves other machines, and a machine that is cut off from the store only, also one that has just started.
 func (f *Follower) askAnyone(ctx context.Context) {
-	var others []directory.Instance
 	now := time.Now()
-	for _, instance := range f.present() {
-		if instance.ID != f.Self.ID && instance.Peers != "" && !now.Before(f.passed[instance.ID]) {
-			others = append(others, instance)
-		}
-	}
+	others := f.others(now)
 	if len(others) == 0 {
 		return
 	}
@@ -97,11 +93,24 @@
 	bounded, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	news, err := f.Peers.News(bounded, peer.Peers, f.revision(), 0)
-	if err != nil {
-		f.passed[peer.ID] = time.Now().Add(peerPause)
+	if err != nil || news.Revision == 0 { // it knows nothing itself
+		f.passed[peer.ID] = now.Add(peerPause)
 		return
 	}
 	if news.Revision >= f.revision() {
 		f.learn(news) // without a change it still says that the store is there
 	}
 }
+
+// others returns the peers that can be asked now; while none is known, the seeds under their addresses.
+func (f *Follower) others(now time.Time) []directory.Instance {
+	known := f.present()
+	if len(known) == 0 {
+		for _, address := range f.Seeds {
+			known = append(known, directory.Instance{ID: fleet.InstanceID(address), Peers: address})
+		}
+	}
+	return slices.DeleteFunc(known, func(instance directory.Instance) bool {
+		return instance.ID == f.Self.ID || instance.Peers == "" || instance.Peers == f.Self.Peers || now.Before(f.passed[instance.ID])
+	})
+}
