Open one connection to a peer, however many calls begin at once

Cause: two calls that found no connection opened one each, and the later one closed the earlier, so that its call failed and the board of sightings was passed over for five seconds. Test: TestClientConnectsOnce fails without the change (connection is closed).

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -49,15 +49,15 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "peer")
 	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if opened := c.open(address); opened != nil { // by another call meanwhile
+		_ = raw.Close() // nothing was sent on it
+		return opened, nil
+	}
 	// The connection outlives the call that opened it; nothing is answered on this side.
 	conn := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(raw, longestAnswer, 0), refuse{})
-	c.mutex.Lock()
-	former := c.conns[address]
 	c.conns[address] = conn
-	c.mutex.Unlock()
-	if former != nil {
-		closeConn(former) // another call opened one meanwhile
-	}
 	return conn, nil
 }
 
@@ -65,6 +65,11 @@
 func (c *Client) known(address string) *jsonrpc2.Conn {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	return c.open(address)
+}
+
+// open is known with the lock taken.
+func (c *Client) open(address string) *jsonrpc2.Conn {
 	known := c.conns[address]
 	if known == nil {
 		return nil
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -235,3 +235,24 @@
 	}
 	is.Equal(client.known(listener.Addr().String()), nil)
 }
+
+// TestClientConnectsOnce guards against calls that open a connection at the same moment and close each other's.
+func TestClientConnectsOnce(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ended := make(chan error, 1)
+	go func() { ended <- newEcho().Serve(t.Context(), listener) }()
+	for range 50 {
+		client := NewClient()
+		failures := make(chan error, mostCalls)
+		for range mostCalls {
+			go func() { failures <- client.Call(t.Context(), listener.Addr().String(), "echo", "x", nil) }()
+		}
+		for range mostCalls {
+			is.NoErr(<-failures)
+		}
+	}
+	is.NoErr(listener.Close())
+	is.NoErr(<-ended)
+}
--- a/internal/lookup/attempt.go
+++ b/internal/lookup/attempt.go
@@ -36,7 +36,7 @@
 	go func() {
 		outcome := e.send(ctx, request, a.to, usual, connections)
 		now := time.Now()
-		e.share(a.to, a.to.load.end(a.number, now, &outcome), now)
+		e.report(a.to, a.to.load.end(a.number, now, &outcome), now)
 		e.recordSend(a.to, outcome.Reason, now.Sub(a.sent))
 		if outcome.Unsent && a.paid != nil {
 			a.paid.refund()
--- a/internal/lookup/budget_test.go
+++ b/internal/lookup/budget_test.go
@@ -150,7 +150,7 @@
 		"later start, a window later": {false, allowed.Window, allowed.Extra / 4},
 	} {
 		t.Run(name, func(t *testing.T) {
-			e := New(Options{Zone: "a", Extra: allowed, First: test.first, Random: rand.New(rand.NewPCG(1, 2))})
+			e := New(Options{Zone: "a", Extra: allowed, FirstStart: test.first, Random: rand.New(rand.NewPCG(1, 2))})
 			e.SetInstances("i0", named(4))
 			is.New(t).Equal(e.allowance(e.started.Add(test.after)).Extra, test.want)
 		})
--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -41,8 +41,8 @@
 	Seen func(sighting.Sighting)
 	// Extra bounds the sends beyond the first of each request, for each service over all instances.
 	Extra Allowance
-	// First is set where no process of this instance has run before, so that none can have used its part of the bounds.
-	First bool
+	// FirstStart is set where no process of this instance has run before, so that none can have used its part of the bounds.
+	FirstStart bool
 	// Memory is the account of what answers hold; nil for none.
 	Memory *memory.Account
 	// Forget is called for each replica that is gone; it may be nil.
@@ -57,16 +57,16 @@
 
 // Engine runs requests. It is safe for concurrent use.
 type Engine struct {
-	zone      fleet.ZoneID
-	sender    Sender
-	recorder  Recorder
-	seen      func(sighting.Sighting)
-	extra     atomic.Pointer[Allowance]
-	memory    *memory.Account
-	forgotten func(fleet.ServerID)
-	started   time.Time
-	first     bool
-	plan      atomic.Pointer[plan]
+	zone       fleet.ZoneID
+	sender     Sender
+	recorder   Recorder
+	seen       func(sighting.Sighting)
+	extra      atomic.Pointer[Allowance]
+	memory     *memory.Account
+	forgotten  func(fleet.ServerID)
+	started    time.Time
+	firstStart bool
+	plan       atomic.Pointer[plan]
 	// population is never nil.
 	population atomic.Pointer[population]
 	draw       atomic.Uint64
@@ -87,17 +87,17 @@
 // New returns an engine that knows no replica until Update is called.
 func New(options Options) *Engine {
 	e := &Engine{
-		zone:      options.Zone,
-		sender:    options.Sender,
-		recorder:  options.Recorder,
-		seen:      options.Seen,
-		memory:    options.Memory,
-		forgotten: options.Forget,
-		started:   time.Now(),
-		first:     options.First,
-		loads:     make(map[fleet.ServerID]known),
-		budgets:   make(map[fleet.ServiceID]*budget),
-		reach:     reach{doubtful: make(map[fleet.ZoneID]time.Time)},
+		zone:       options.Zone,
+		sender:     options.Sender,
+		recorder:   options.Recorder,
+		seen:       options.Seen,
+		memory:     options.Memory,
+		forgotten:  options.Forget,
+		started:    time.Now(),
+		firstStart: options.FirstStart,
+		loads:      make(map[fleet.ServerID]known),
+		budgets:    make(map[fleet.ServiceID]*budget),
+		reach:      reach{doubtful: make(map[fleet.ZoneID]time.Time)},
 	}
 	e.SetExtra(options.Extra)
 	e.draw.Store(options.Random.Uint64())
@@ -118,7 +118,7 @@
 func (e *Engine) allowance(now time.Time) Allowance {
 	allowed := *e.extra.Load()
 	without := allowed.Window
-	if e.first {
+	if e.firstStart {
 		without = min(without, firstRegistrations)
 	}
 	if now.Sub(e.started) < without {
--- a/internal/lookup/waited.go
+++ b/internal/lookup/given.go
@@ -6,17 +6,17 @@
 )
 
 const (
-	// budgetWindow is the number of requests after which a longest time that nobody gives any more is forgotten.
-	budgetWindow = 64
+	// givenWindow is the number of requests after which a longest time that nobody gives any more is forgotten.
+	givenWindow = 64
 	// mostWaited bounds what a caller is taken to have waited, as a part of the objective. Beyond it the request is a repeated
 	// one, or its caller gives less time than others do, and the objective counts from its arrival.
 	mostWaited = 0.25
 )
 
-// budgets learns how much time callers of one route give a request in all. A caller says how much is left when it sends; what
+// givenTimes learns how much time callers of one route give a request in all. A caller says how much is left when it sends; what
 // is missing has passed before, most often while it opened its connection, and counts in its objective. It is safe for
 // concurrent use.
-type budgets struct {
+type givenTimes struct {
 	mutex          sync.Mutex
 	former, newest time.Duration // longest times given in the window before and in this one
 	seen           int
@@ -24,17 +24,17 @@
 
 // waited returns how long the caller has most likely waited before it sent a request that gives it the time left; zero for a
 // request without a time.
-func (b *budgets) waited(left, objective time.Duration) time.Duration {
+func (g *givenTimes) waited(left, objective time.Duration) time.Duration {
 	if left <= 0 {
 		return 0
 	}
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if b.seen++; b.seen > budgetWindow {
-		b.former, b.newest, b.seen = b.newest, 0, 1
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.seen++; g.seen > givenWindow {
+		g.former, g.newest, g.seen = g.newest, 0, 1
 	}
-	b.newest = max(b.newest, left)
-	waited := max(b.former, b.newest) - left
+	g.newest = max(g.newest, left)
+	waited := max(g.former, g.newest) - left
 	if float64(waited) > mostWaited*float64(objective) {
 		return 0
 	}
--- a/internal/lookup/waited_test.go
+++ b/internal/lookup/given_test.go
@@ -32,16 +32,16 @@
 		"without a time":     {[]int{1000}, 0, 0},
 		"repeated request":   {[]int{1000}, 700, 0},
 		"other kind":         {[]int{4000, 1000}, 1000, 0},
-		"less than formerly": {append([]int{1000}, repeat(2*budgetWindow, 990)...), 985, 5},
-		"not forgotten yet":  {append([]int{1000}, repeat(budgetWindow/2, 990)...), 985, 15},
+		"less than formerly": {append([]int{1000}, repeat(2*givenWindow, 990)...), 985, 5},
+		"not forgotten yet":  {append([]int{1000}, repeat(givenWindow/2, 990)...), 985, 15},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			var b budgets
+			var g givenTimes
 			for _, left := range test.before {
-				b.waited(ms(left), objective)
+				g.waited(ms(left), objective)
 			}
-			is.New(t).Equal(b.waited(ms(test.left), objective), ms(test.want))
+			is.New(t).Equal(g.waited(ms(test.left), objective), ms(test.want))
 		})
 	}
 }
--- a/internal/lookup/pace.go
+++ b/internal/lookup/pace.go
@@ -36,7 +36,7 @@
 	alone undisturbed
 	parts partSizes
 	// given is what callers give their requests.
-	given budgets
+	given givenTimes
 }
 
 func newPace(route *routing.Route) *pace {
--- a/internal/lookup/sightings.go
+++ b/internal/lookup/sightings.go
@@ -21,8 +21,8 @@
 	rejected bool
 }
 
-// share tells the other instances of a send that went badly.
-func (e *Engine) share(to *member, seen observation, now time.Time) {
+// report tells the other instances of a send that went badly.
+func (e *Engine) report(to *member, seen observation, now time.Time) {
 	if e.seen == nil || !seen.rejected && seen.ratio < sharedRatio {
 		return
 	}
