--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -11,31 +11,15 @@
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 )
 
-// readerOf returns the instance of the zone that reads the store for the others: the first by rendezvous order of those
-// that have a peer address and have not failed lately. Every instance that knows the same instances finds the same one,
-// and the loss of one moves only its own followers.
-func readerOf(zone fleet.ZoneID, present []directory.Instance, passed func(fleet.InstanceID) bool) (directory.Instance, bool) {
-	byID := make(map[fleet.InstanceID]directory.Instance)
-	var ranked []fleet.InstanceID
-	for _, instance := range present {
-		if instance.Zone == zone && instance.Peers != "" && !passed(instance.ID) {
-			byID[instance.ID] = instance
-			ranked = append(ranked, instance.ID)
-		}
-	}
-	if len(ranked) == 0 {
-		return directory.Instance{}, false
-	}
-	fleet.SortByWeight("reader/"+string(zone), ranked)
-	return byID[ranked[0]], true
-}
+// readerDuty names the instance of a zone that reads the store for the others.
+const readerDuty = "reader"
 
 // reader returns the peer that this instance asks; false if it reads the store itself.
 func (f *Follower) reader(now time.Time) (directory.Instance, bool) {
 	if !f.listed && f.revision() == 0 {
 		return directory.Instance{}, false
 	}
-	found, ok := readerOf(f.Self.Zone, f.present(), func(id fleet.InstanceID) bool { return now.Before(f.passed[id]) })
+	found, ok := directory.First(readerDuty, f.Self.Zone, f.present(), func(id fleet.InstanceID) bool { return now.Before(f.passed[id]) })
 	return found, ok && found.ID != f.Self.ID
 }
 
--- a/internal/follow/source_test.go
+++ b/internal/follow/source_test.go
@@ -19,7 +19,7 @@
 		t.Run(name, func(t *testing.T) {
 			play(t, []fleet.InstanceID{"i1", "i2", "i3"}, func(is *is.I, s *store, i *instances) {
 				time.Sleep(5 * time.Second)
-				reader, ok := readerOf("a", i.running["i1"].present(), func(fleet.InstanceID) bool { return false })
+				reader, ok := directory.First(readerDuty, "a", i.running["i1"].present(), func(fleet.InstanceID) bool { return false })
 				is.True(ok)
 				i.mutex.Lock()
 				switch name {
@@ -51,15 +51,15 @@
 	is := is.New(t)
 	none := func(fleet.InstanceID) bool { return false }
 	all := []directory.Instance{{ID: "a1", Zone: "a", Peers: "x"}, {ID: "a2", Zone: "a", Peers: "y"}, {ID: "b1", Zone: "b", Peers: "z"}, {ID: "a3", Zone: "a"}}
-	first, ok := readerOf("a", all, none)
+	first, ok := directory.First(readerDuty, "a", all, none)
 	is.True(ok)
 	is.True(first.ID == "a1" || first.ID == "a2")
 	turned := []directory.Instance{all[3], all[2], all[1], all[0]}
-	again, _ := readerOf("a", turned, none)
+	again, _ := directory.First(readerDuty, "a", turned, none)
 	is.Equal(again, first)
-	second, _ := readerOf("a", all, func(id fleet.InstanceID) bool { return id == first.ID })
+	second, _ := directory.First(readerDuty, "a", all, func(id fleet.InstanceID) bool { return id == first.ID })
 	is.True(second.ID != first.ID && second.Zone == "a")
-	_, ok = readerOf("c", all, none)
+	_, ok = directory.First(readerDuty, "c", all, none)
 	is.True(!ok)
 }
 
@@ -126,7 +126,7 @@
 	names := []fleet.InstanceID{"i1", "i2", "i3"}
 	play(t, names, func(is *is.I, s *store, i *instances) {
 		time.Sleep(5 * time.Second)
-		reader, ok := readerOf("a", i.running["i1"].present(), func(fleet.InstanceID) bool { return false })
+		reader, ok := directory.First(readerDuty, "a", i.running["i1"].present(), func(fleet.InstanceID) bool { return false })
 		is.True(ok)
 		i.links[reader.ID].cut.Store(true)
 		time.Sleep(cut)
--- a/internal/lookup/sightings.go
+++ b/internal/lookup/sightings.go
@@ -9,9 +9,13 @@
 	"github.com/medlarlatch/medlarlatch/internal/sighting"
 )
 
-// sharedRatio is the time of a send, in usual times, from which the other instances are told: few sends to a sound replica
-// take that long.
-const sharedRatio = 2
+const (
+	// sharedRatio is the time of a send, in usual times, from which the other instances are told: few sends to a sound replica
+	// take that long.
+	sharedRatio = 2
+	// mostNamed bounds the replicas that one line names.
+	mostNamed = 8
+)
 
 // observation is what one send showed of its replica.
 type observation struct {
@@ -34,8 +38,9 @@
 }
 
 // Told takes what other instances saw. It answers many instances of which each sends to a replica too seldom to find out by
-// itself that it is slow or fails. It changes only the order in which replicas are chosen: whether one is silent, and whether
-// a request can be served at all, is judged from this instance's own sends.
+// itself that it is slow or fails. It changes the order in which replicas are chosen, keeps parts from being hedged to a replica
+// that rejects, and helps to tell why a request is late. Whether a replica is silent, and whether a request can reach its floor,
+// is judged from this instance's own sends.
 func (e *Engine) Told(sightings []sighting.Sighting) {
 	e.updating.Lock()
 	defer e.updating.Unlock()
@@ -50,9 +55,6 @@
 	}
 }
 
-// mostNamed bounds the replicas that one line names.
-const mostNamed = 8
-
 // told records what another instance saw. It tells whether the replica counts as slow from now on.
 func (l *load) told(s sighting.Sighting) bool {
 	l.mutex.Lock()
--- a/internal/sighting/sharer.go
+++ b/internal/sighting/sharer.go
@@ -114,29 +114,15 @@
 	}
 }
 
-// boardOf returns the instance of the zone whose board the others use: the first by rendezvous order of those that have not
-// failed lately. Two that are taken for it at once do no harm; each sighting then reaches a part of the zone.
-func boardOf(zone fleet.ZoneID, instances []directory.Instance, skip func(fleet.InstanceID) bool) (directory.Instance, bool) {
-	known := make(map[fleet.InstanceID]directory.Instance)
-	var ranked []fleet.InstanceID
-	for _, instance := range instances {
-		if instance.Zone == zone && instance.Peers != "" && !skip(instance.ID) {
-			known[instance.ID] = instance
-			ranked = append(ranked, instance.ID)
-		}
-	}
-	if len(ranked) == 0 {
-		return directory.Instance{}, false
-	}
-	fleet.SortByWeight("sightings/"+string(zone), ranked)
-	return known[ranked[0]], true
-}
+// boardDuty names the instance of a zone whose board the others use. Two that are taken for it at once do no harm; each sighting
+// then reaches a part of the zone.
+const boardDuty = "sightings"
 
 // current returns the board in use; false if it is the own one, or there is no other instance.
 func (s *Sharer) current(now time.Time) (directory.Instance, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	found, ok := boardOf(s.Self.Zone, s.instances, func(id fleet.InstanceID) bool { return now.Before(s.failed[id]) })
+	found, ok := directory.First(boardDuty, s.Self.Zone, s.instances, func(id fleet.InstanceID) bool { return now.Before(s.failed[id]) })
 	return found, ok && found.ID != s.Self.ID
 }
 
