Keep the replicas of a service that the configuration does not describe

Cause: since the plan has lists of all replicas, a group was filed under the id in the service's description; without a description that is empty, so that a route to such a service found no replica, and several of them replaced each other. Found by reading the change. Test: TestServiceWithoutDescription. Also: the intake looks at parts only where a request has not reached its floor.

--- a/internal/lookup/compose.go
+++ b/internal/lookup/compose.go
@@ -81,13 +81,17 @@
 		return
 	}
 	f.judged = true
+	if f.answered >= f.floor {
+		f.gate.intake.observe(now, false)
+		return
+	}
 	overloaded := 0
 	for i := range f.parts {
-		if f.answered < f.floor && f.parts[i].overloaded(now) {
+		if f.parts[i].overloaded(now) {
 			overloaded++
 		}
 	}
-	f.gate.intake.observe(now, f.answered < f.floor && f.answered+overloaded >= f.floor)
+	f.gate.intake.observe(now, f.answered+overloaded >= f.floor)
 }
 
 // refuse ends the request without an answer; nobody waits for its parts any more.
--- a/internal/lookup/plan.go
+++ b/internal/lookup/plan.go
@@ -57,7 +57,7 @@
 			}
 			g.members = append(g.members, m)
 		}
-		next.add(g)
+		next.add(id, g)
 	}
 	for id := range e.loads {
 		if _, listed := loads[id]; !listed {
@@ -73,9 +73,9 @@
 	})
 }
 
-// add takes a group whose members are complete.
-func (p *plan) add(g *group) {
-	p.groups[g.service.ID] = g
+// add takes the group of a service, whose members are complete. The configuration may not describe the service.
+func (p *plan) add(id fleet.ServiceID, g *group) {
+	p.groups[id] = g
 	for i := range g.members {
 		m := &g.members[i]
 		p.all = append(p.all, m)
--- a/internal/lookup/plan_test.go
+++ b/internal/lookup/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -38,3 +39,17 @@
 		is.Equal(forgotten, 2*shards+99)
 	})
 }
+
+// TestServiceWithoutDescription guards against replicas that get nothing because the configuration names their service in a route
+// but does not describe it.
+func TestServiceWithoutDescription(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newStage(t, func(fleet.ServerID, time.Time) behaviour { return good(work) })
+		e := s.engine
+		view := &directory.View{Table: routing.New(2, []*routing.Route{s.one}, nil, routing.Limits{}, nil), Replicas: map[fleet.ServiceID][]directory.Replica{
+			"s0": {{ID: "r", Service: "s0", Zone: "a", Address: "r", Slots: 2, Born: 1}}, "s9": {{ID: "q", Service: "s9", Zone: "a", Address: "q", Slots: 2, Born: 1}},
+		}}
+		e.Update(view)
+		is.New(t).True(s.run(s.one).Failure == nil)
+	})
+}
