--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -187,3 +187,40 @@
 	}
 	is.Equal(s.connections.Load(), int32(3))
 }
+
+// TestShortageOfMemory guards against a server that is taken for faulty because other answers hold the memory, or because its
+// request has ended: only one that has already sent far more than usual answers have is.
+func TestShortageOfMemory(t *testing.T) {
+	for name, test := range map[string]struct {
+		bytes  int
+		room   int64 // of the account
+		closed bool
+		want   verdict.Reason
+	}{
+		"usual answer, no room":       {20 << 10, 5 << 10, false, verdict.Overloaded},
+		"usual answer, request ended": {20 << 10, 1 << 20, true, verdict.Overloaded},
+		"large answer, no room":       {1 << 20, 256 << 10, false, verdict.BadAnswer},
+		"usual answer, room":          {20 << 10, 1 << 20, false, verdict.None},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serveScript(t, func(conn net.Conn, r *http.Request, _ int) bool {
+				_, _ = io.WriteString(conn, okAnswer(r.Header.Get("Id"), strings.Repeat("x", test.bytes)))
+				return true
+			})
+			held := memory.New(test.room).Open()
+			if test.closed {
+				held.Close()
+			}
+			message := messageOf("a", 5*time.Second)
+			message.Reserve = held.Take
+			_, failure := NewRelay(nil).Do(t.Context(), s.Server, 2, message)
+			if test.want == verdict.None {
+				is.True(failure == nil)
+				return
+			}
+			is.Equal(failure.Reason, test.want)
+			is.Equal(failure.Verdict, verdict.MayHaveRun)
+		})
+	}
+}
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/memory"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
@@ -27,6 +28,9 @@
 	// longRequest is the size from which a request is written beside the reading of its answer, because a server may
 	// answer before it has read a long body.
 	longRequest = 16 << 10
+	// largeAnswer is the size in bytes from which an answer that finds no memory is taken for the server's failure: those
+	// that take the memory are among them.
+	largeAnswer = 64 << 10
 	// mostSkipped bounds the answers to other requests that are skipped on one connection.
 	mostSkipped = 2
 )
@@ -276,6 +280,9 @@
 			reason = verdict.Cancelled
 		}
 		return verdict.New(verdict.MayHaveRun, reason, "no answer: %v", done.err)
+	case errors.Is(done.err, memory.ErrFull) && len(done.body) < largeAnswer:
+		// Other answers hold the memory, or the request has ended meanwhile.
+		return verdict.New(verdict.MayHaveRun, verdict.Overloaded, "answer given up: %v", done.err)
 	case done.began:
 		return verdict.New(verdict.MayHaveRun, verdict.BadAnswer, "answer is not whole: %v", done.err)
 	default:
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -10,8 +10,8 @@
 const (
 	// longestCall bounds a frame that the listening side reads, in bytes; calls are positions and batches of sightings.
 	longestCall = 64 << 10
-	// longestAnswer bounds a frame that the calling side reads, in bytes. The longest answer is the whole directory: about
-	// 250 bytes for each of some thousand replicas and a configuration of at most 1 MiB.
+	// longestAnswer bounds a frame that the calling side reads, in bytes. The longest answer is the whole directory: some
+	// hundred bytes for each of some thousand replicas and a configuration of at most 1 MiB.
 	longestAnswer = 16 << 20
 	// mostConnections bounds the connections that are accepted: more than the instances of a zone at the target size, 433.
 	mostConnections = 512
--- a/internal/lookup/intake.go
+++ b/internal/lookup/intake.go
@@ -34,7 +34,8 @@
 	turnedAway float64
 	// credit rises by the share with each request; a whole one lets a request in.
 	credit float64
-	late   time.Time
+	// late is when a request was late last.
+	late time.Time
 	// strain is the smoothed share of requests that were late because their parts were rejected.
 	strain float64
 }
@@ -54,6 +55,13 @@
 	return true
 }
 
+// refused returns the share of requests that are turned away.
+func (i *intake) refused() float64 {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.turnedAway
+}
+
 // observe takes whether a request was late because its parts were rejected.
 func (i *intake) observe(now time.Time, overloaded bool) {
 	i.mutex.Lock()
--- a/internal/lookup/state.go
+++ b/internal/lookup/state.go
@@ -76,6 +76,16 @@
 	return states
 }
 
+// RefusedShares returns the share of requests that are refused at once, by the first shard of their routes.
+func (e *Engine) RefusedShares() map[fleet.ServiceID]float64 {
+	shares := make(map[fleet.ServiceID]float64)
+	e.gates.Range(func(shard, known any) bool {
+		shares[shard.(fleet.ServiceID)] = known.(*gate).intake.refused()
+		return true
+	})
+	return shares
+}
+
 // ExtraSends is this instance's part of the bound on extra sends to one service.
 type ExtraSends struct {
 	Service fleet.ServiceID
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -91,7 +91,7 @@
 const uncounted = 4 << 10
 
 // ReadAll reads to the end. What is held grows with the bytes that have arrived, whatever length was announced, and is taken
-// by reserve first; expected is that length or below 0, most the longest message.
+// by reserve first; expected is that length or below 0, most the longest message. With ErrFull it returns what has arrived.
 func ReadAll(reader io.Reader, expected, most int64, reserve func(bytes int) bool) ([]byte, error) {
 	if expected > most {
 		return nil, ErrTooLong
@@ -116,7 +116,7 @@
 		}
 		larger := min(int64(cap(text))*2, most+1)
 		if !reserve(int(larger)) { // the former buffer may be held until it is collected
-			return nil, ErrFull
+			return text, ErrFull
 		}
 		text = append(make([]byte, 0, larger), text...)
 	}
