Bound what the requests of one route hold, so that other routes keep their memory

Cause: large answers of the replicas of one index take the whole account of bodies. Requests on other routes then find no memory and are refused, although their own answers are small.

Change: each route has an account that is a quarter of the process's, and its requests take from both. A buffer that grows takes only what is added.

--- a/internal/lookup/attempt.go
+++ b/internal/lookup/attempt.go
@@ -57,7 +57,7 @@
 	if len(request.Route.Shards) == 0 {
 		return e.sender.Send(ctx, request, to.Replica, Bounds{Connections: connections, Reserve: request.Memory.Take})
 	}
-	held := e.memory.Open()
+	held := usual.memory.Open()
 	defer held.Close()
 	outcome = e.sender.Send(ctx, request, to.Replica, Bounds{Connections: connections, BodyBytes: usual.parts.bound(), Reserve: held.Take})
 	if outcome.Reason == verdict.None {
--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -27,6 +27,9 @@
 	defaultInstances = 8
 	// firstRegistrations is the time within which instances that start together have registered, and have heard of each other.
 	firstRegistrations = 4 * time.Second
+	// routeShare is the part of the memory, as a divisor, that the requests of one route may hold: replicas of one index that
+	// send large answers must not keep the other routes from theirs.
+	routeShare = 4
 	// mostRequests bounds the requests in progress in one process; each holds its parts in memory.
 	mostRequests = 3000
 )
@@ -127,6 +130,11 @@
 	return allowed.share(e.Instances())
 }
 
+// Reserve opens a reservation for a request of the route and its answer.
+func (e *Engine) Reserve(route *routing.Route) *memory.Reservation {
+	return e.paceOf(route).memory.Open()
+}
+
 // Running returns the number of requests in progress.
 func (e *Engine) Running() int64 { return e.running.Load() }
 
@@ -152,7 +160,7 @@
 	if found, ok := e.paces.Load(route.Name); ok {
 		return found.(*pace)
 	}
-	found, _ := e.paces.LoadOrStore(route.Name, newPace(route))
+	found, _ := e.paces.LoadOrStore(route.Name, newPace(route, e.memory.Part(routeShare)))
 	return found.(*pace)
 }
 
@@ -186,7 +194,7 @@
 		return Result{Failure: verdict.New(verdict.NotRun, verdict.Overloaded, "%d requests in progress", mostRequests).WithRetryAfter(retryAfter)}
 	}
 	defer e.running.Add(-1)
-	if e.memory.Full() {
+	if e.paceOf(request.Route).memory.Full() {
 		return Result{Failure: verdict.New(verdict.NotRun, verdict.Overloaded, "no memory left for answers").WithRetryAfter(retryAfter)}
 	}
 	if len(request.Route.Shards) > 0 {
--- a/internal/lookup/pace.go
+++ b/internal/lookup/pace.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/medlarlatch/medlarlatch/internal/memory"
 	"github.com/medlarlatch/medlarlatch/internal/routing"
 )
 
@@ -34,17 +35,19 @@
 	mean atomic.Int64
 	// alone is the time of a send that finds a free slot.
 	alone undisturbed
-	parts partSizes
+	// memory is what the requests of the route may hold together; nil for no account.
+	memory *memory.Account
+	parts  partSizes
 	// given is what callers give their requests.
 	given givenTimes
 }
 
-func newPace(route *routing.Route) *pace {
+func newPace(route *routing.Route, account *memory.Account) *pace {
 	share := singleShare
 	if len(route.Shards) > 0 {
 		share = shardShare
 	}
-	p := &pace{}
+	p := &pace{memory: account}
 	p.mean.Store(max(int64(share*float64(route.Objective)), int64(time.Millisecond)))
 	p.alone.nanoseconds.Store(p.mean.Load())
 	return p
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -22,23 +22,36 @@
 type Account struct {
 	limit      int64
 	used, peak atomic.Int64
+	// whole is the account that this one is a part of; nil for none.
+	whole *Account
 }
 
 // New returns an account of the number of bytes.
 func New(limit int64) *Account { return &Account{limit: limit} }
 
+// Part returns an account of a part of this one, as a divisor. What is taken from it counts in both, so that one purpose cannot
+// take what others need.
+func (a *Account) Part(divisor int64) *Account {
+	if a == nil {
+		return nil
+	}
+	return &Account{limit: a.limit / divisor, whole: a}
+}
+
 // Used returns the bytes that are taken now.
 func (a *Account) Used() int64 { return a.used.Load() }
 
 // Peak returns the most bytes that were taken at a time.
 func (a *Account) Peak() int64 { return a.peak.Load() }
 
-// Full tells whether less than an eighth is left, so that new work should be refused.
-func (a *Account) Full() bool { return a != nil && a.used.Load() > a.limit-a.limit/8 }
+// Full tells whether less than an eighth is left, here or in the whole, so that new work should be refused.
+func (a *Account) Full() bool {
+	return a != nil && (a.used.Load() > a.limit-a.limit/8 || a.whole.Full())
+}
 
 func (a *Account) take(bytes int64) bool {
 	used := a.used.Add(bytes)
-	if used > a.limit {
+	if used > a.limit || a.whole != nil && !a.whole.take(bytes) {
 		a.used.Add(-bytes)
 		return false
 	}
@@ -50,6 +63,13 @@
 	}
 }
 
+func (a *Account) give(bytes int64) {
+	a.used.Add(-bytes)
+	if a.whole != nil {
+		a.whole.give(bytes)
+	}
+}
+
 // Open returns an empty reservation.
 func (a *Account) Open() *Reservation { return &Reservation{account: a} }
 
@@ -82,7 +102,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.account.used.Add(-r.taken)
+	r.account.give(r.taken)
 	r.taken, r.closed = 0, true
 }
 
@@ -115,7 +135,7 @@
 			continue
 		}
 		larger := min(int64(cap(text))*2, most+1)
-		if !reserve(int(larger)) { // the former buffer may be held until it is collected
+		if !reserve(int(larger) - cap(text)) {
 			return text, ErrFull
 		}
 		text = append(make([]byte, 0, larger), text...)
