Heed replicas that say that they leave, or ask for a pause

They bind for first sends, retries, hedges and probes, and outlive the replica's entry, so that a zone that is taken out and back, or an entry that lapses, does not bring a leaving process back. With all replicas of a shard pausing, a request waits only where the pause ends in time; otherwise it is answered without the shard, or refused at once with the time at which the first replicas take requests again.

Ruled out: telling the zone. Each instance hears of it with its next answer, one request to a leaving replica does no harm, and a stranger on the peers' port could take replicas out of use.

Also two tests for mutations that had survived: a sighting of a former process at the same address, and an intake that falls beside a replica that pauses.

--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -59,8 +59,6 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Leaving is set when the server closes the connection after this answer.
-	Leaving bool
 }
 
 // RelayCounts counts what a Relay did since its start.
@@ -126,7 +124,7 @@
 	} else {
 		p.put(c, limit)
 	}
-	return Answer{Status: done.status, Header: done.header, Body: done.body, Leaving: done.closing}, nil
+	return Answer{Status: done.status, Header: done.header, Body: done.body}, nil
 }
 
 // Probe opens a connection to the server and keeps it for the next request.
--- a/internal/lookup/compose.go
+++ b/internal/lookup/compose.go
@@ -37,17 +37,32 @@
 		if p.answer != nil || p.failed {
 			continue
 		}
-		if p.sound(now) || f.engine.answers(f.request.Route, current.groups[p.service], now) {
+		g := current.groups[p.service]
+		if p.sound(now) || f.engine.answers(f.request.Route, g, now) || f.pauseEnds(p, g, now) {
 			hopeful++
 		}
 	}
 	return hopeful
 }
 
+// pauseEnds tells whether the part waits for the end of a pause that a replica has asked for.
+func (f *fanout) pauseEnds(p *part, g *group, now time.Time) bool {
+	if p.retryAt.IsZero() {
+		return false
+	}
+	from, ok := g.takesRequests(f.request.Route, now)
+	return ok && from.After(now) && f.inTime(from)
+}
+
 func (f *fanout) belowFloor(detail string) *verdict.Error {
 	failure := verdict.New(f.verdict(), verdict.CoverageBelowFloor, "%s: %d of %d, %d are needed", detail, f.answered, len(f.parts), f.floor)
-	if failure.Verdict == verdict.NotRun || f.engine.Isolated() {
-		return failure.WithRetryAfter(f.engine.returnAfter(time.Now()))
+	now := time.Now()
+	from, ok := f.engine.plan.Load().floorTakesRequests(f.request.Route, f.floor, now)
+	switch {
+	case !ok:
+		return failure.WithRetryAfter(max(downRetryAfter, f.engine.returnAfter(now)))
+	case from.After(now) || failure.Verdict == verdict.NotRun || f.engine.Isolated():
+		return failure.WithRetryAfter(max(from.Sub(now), f.engine.returnAfter(now)))
 	}
 	return failure // another replica or instance may answer at once
 }
--- a/internal/lookup/fake_test.go
+++ b/internal/lookup/fake_test.go
@@ -112,6 +112,7 @@
 type stage struct {
 	*backends
 	connections int // of each replica, from all instances together
+	born        int64
 	engine      *Engine
 	fan         *routing.Route
 	one         *routing.Route
@@ -121,7 +122,7 @@
 func newStage(t *testing.T, behave func(id fleet.ServerID, now time.Time) behaviour) *stage {
 	t.Helper()
 	b := &backends{behave: behave, sends: make(map[fleet.ServerID]int)}
-	s := &stage{backends: b, connections: 60}
+	s := &stage{backends: b, connections: 60, born: 1}
 	s.engine = New(Options{
 		Zone: "a", Sender: b, Extra: allowed, Random: rand.New(rand.NewPCG(1, 2)),
 	})
@@ -161,7 +162,7 @@
 			id := fleet.ServerID(string(service) + "-" + string(zone))
 			if skip == nil || !skip(id) {
 				v.Replicas[service] = append(v.Replicas[service], directory.Replica{
-					ID: id, Service: service, Zone: zone, Region: "region-" + fleet.RegionID(zone), Address: string(id), Slots: 2, Born: 1,
+					ID: id, Service: service, Zone: zone, Region: "region-" + fleet.RegionID(zone), Address: string(id), Slots: 2, Born: s.born,
 				})
 			}
 		}
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -123,11 +123,38 @@
 		}
 	}
 	likely := f.engine.likely(current, f.request.Route, now)
-	if likely >= f.floor || !f.engine.Isolated() && f.engine.mayTry(now) {
+	if likely >= f.floor {
+		return nil
+	}
+	again, worthTrying := downRetryAfter, true
+	if from, ok := current.floorTakesRequests(f.request.Route, f.floor, now); !ok {
+		worthTrying = false
+	} else if from.After(now) {
+		if f.inTime(from) {
+			return nil
+		}
+		again, worthTrying = max(retryAfter, from.Sub(now)), false
+	}
+	if worthTrying && !f.engine.Isolated() && f.engine.mayTry(now) {
 		return nil
 	}
 	return verdict.New(verdict.NotRun, verdict.NoReplica, "%d of %d shards have a replica that answers, %d are needed",
-		likely, len(f.parts), f.floor).WithRetryAfter(max(downRetryAfter, f.engine.returnAfter(now)))
+		likely, len(f.parts), f.floor).WithRetryAfter(max(again, f.engine.returnAfter(now)))
+}
+
+// inTime tells whether a part that is sent at the time usually has its answer before the request is answered.
+func (f *fanout) inTime(sent time.Time) bool { return !sent.Add(f.expected).After(f.composeAt) }
+
+// wait makes a part without a live send wait until a replica of its shard takes requests again, and until the pause after a
+// rejection has passed. A part that would come too late fails.
+func (f *fanout) wait(p *part, g *group, now time.Time) {
+	from, ok := g.takesRequests(f.request.Route, now)
+	if !ok || from.After(now) && !f.inTime(from) {
+		f.fail(p, verdict.Overloaded)
+		return
+	}
+	p.tried = p.tried[:0]
+	p.retryAt = latest(from, now.Add(rejectedPause))
 }
 
 // floorOf returns the least number of shards that makes an answer. The small amount keeps 0.95 of 20, which is
@@ -150,7 +177,7 @@
 		return
 	case chosen == nil:
 		p.reason = verdict.Overloaded
-		p.retryAt = now.Add(rejectedPause)
+		f.wait(p, g, now)
 		return
 	}
 	f.send(i, chosen, g, false, nil, now)
@@ -232,9 +259,7 @@
 			f.fail(p, p.reason)
 			return
 		}
-		// Every replica has rejected the part; ask again a little later.
-		p.tried = p.tried[:0]
-		p.retryAt = now.Add(rejectedPause)
+		f.wait(p, g, now)
 		return
 	}
 	paid, ok := f.take(p, g, now)
--- a/internal/lookup/intake_test.go
+++ b/internal/lookup/intake_test.go
@@ -119,7 +119,7 @@
 	}
 }
 
-// TestIntake guards against a share that falls without a crowd, that lets nothing in, or that stays low when the crowd is over.
+// TestIntake guards against a share that falls beside a replica that pauses, that lets nothing in, or that stays low when the crowd is over.
 func TestIntake(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
@@ -134,6 +134,10 @@
 	}
 	i.observe(now, false)
 	is.Equal(let(100), 100)
+	for n := range 100 { // a replica that pauses makes one request in three late
+		i.observe(now, n%3 == 0)
+	}
+	is.Equal(let(100), 100)
 	for range 100 {
 		i.observe(now, true)
 	}
--- a/internal/lookup/load.go
+++ b/internal/lookup/load.go
@@ -62,6 +62,7 @@
 	// misdirected is set when another process answers at the address.
 	misdirected bool
 	coldSends   []time.Time
+	said        notice
 	// uncertain is set while the replica may be silent. It is read without the lock.
 	uncertain atomic.Bool
 }
@@ -90,6 +91,7 @@
 		}
 	}
 	elapsed := now.Sub(ended.sent)
+	l.heed(now, outcome)
 	switch {
 	case outcome.answered():
 		if l.silent > 0 {
@@ -259,7 +261,7 @@
 func (l *load) usable(now time.Time, connections int) (may, likely bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return !l.misdirected && len(l.waiting) < connections, !now.Before(l.suspect) && !l.stalled(now)
+	return !l.misdirected && l.said.takes(now) && len(l.waiting) < connections, !now.Before(l.suspect) && !l.stalled(now)
 }
 
 // admitCold tells whether a cold replica may get one more request from this instance, which may send it limit of them a second,
@@ -281,11 +283,22 @@
 	return true
 }
 
+// mayAnswer tells whether the replica takes requests and has lately answered.
+func (l *load) mayAnswer(now time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.said.takes(now) && !l.unheard(now)
+}
+
 // silentNow tells whether the replica has lately not answered at all. After a suspicion has ended, the first request
 // shows whether it answers again; until then it counts as silent for the others.
 func (l *load) silentNow(now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	return l.unheard(now)
+}
+
+func (l *load) unheard(now time.Time) bool {
 	return l.misdirected || now.Before(l.suspect) || l.silent > 0 && len(l.waiting) > 0
 }
 
@@ -328,7 +341,7 @@
 func (l *load) startProbe(now time.Time, sound bool) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.probing || l.misdirected {
+	if l.probing || l.misdirected || l.said.leaving {
 		return false
 	}
 	l.probing = sound || !l.vouched && (l.silent > 0 || now.Before(l.suspect))
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -73,8 +73,10 @@
 	Receipt string
 	// Unsent is set when no byte of the request can have reached a replica.
 	Unsent bool
-	// Leaving is set when the replica said that it closes its connections.
+	// Leaving is set when the replica said that it leaves and takes no further request.
 	Leaving bool
+	// RetryAfter is for how long the replica wants no request from this instance; 0 where it did not say.
+	RetryAfter time.Duration
 }
 
 // answered tells whether the replica itself said something, so that it is not silent.
--- a/internal/lookup/plan.go
+++ b/internal/lookup/plan.go
@@ -49,7 +49,7 @@
 			if state.load == nil || !state.replica.SameProcess(replica) {
 				state = known{load: &load{id: replica.ID}}
 			}
-			state.replica = replica
+			state.replica, state.absent = replica, time.Time{}
 			loads[replica.ID] = state
 			m := member{Replica: replica, local: replica.Zone == e.zone, coldLimit: -1, load: state.load}
 			if g.service.ColdRate > 0 && now.Before(replica.ColdUntil) {
@@ -59,10 +59,17 @@
 		}
 		next.add(id, g)
 	}
-	for id := range e.loads {
-		if _, listed := loads[id]; !listed {
+	for id, state := range e.loads {
+		if _, listed := loads[id]; listed {
+			continue
+		}
+		if state.absent.IsZero() {
+			state.absent = now
 			e.forget(id)
 		}
+		if !state.load.notice().takes(now) && now.Sub(state.absent) < longestNotice {
+			loads[id] = state
+		}
 	}
 	e.loads = loads
 	e.plan.Store(next)
@@ -123,6 +130,8 @@
 type known struct {
 	replica directory.Replica
 	load    *load
+	// absent is since when the entry is not in the view; zero while it is.
+	absent time.Time
 }
 
 func (e *Engine) budgetOf(id fleet.ServiceID) *budget {
--- a/internal/lookup/reach.go
+++ b/internal/lookup/reach.go
@@ -290,7 +290,7 @@
 		return false
 	}
 	for i := range g.members {
-		if route.Allows(g.members[i].Region) && !g.members[i].load.silentNow(now) {
+		if route.Allows(g.members[i].Region) && g.members[i].load.mayAnswer(now) {
 			return true
 		}
 	}
--- a/internal/lookup/sightings_test.go
+++ b/internal/lookup/sightings_test.go
@@ -95,7 +95,8 @@
 }
 
 // TestToldIsNoVerdict guards against one instance whose word takes replicas from all others: whatever it says, requests are
-// served, and a replica that answers in time is believed again.
+// served, and a replica that answers in time is believed again. What is told of a former process at the same address says nothing
+// of the present one.
 func TestToldIsNoVerdict(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		is := is.New(t)
@@ -118,8 +119,17 @@
 			is.Equal(result.Trace.Sends, shards)
 		}
 		is.True(!s.engine.Isolated())
-		unknown := []sighting.Sighting{{Replica: "nobody", Slowness: 3, At: time.Now()}, {Replica: "s0-a", Born: 2, Slowness: 9, At: time.Now()}}
-		s.engine.Told(unknown) // another start of the replica
+		time.Sleep(time.Minute)
+		is.True(s.run(s.fan).Failure == nil)
+		state := s.engine.loads["s0-a"].load
+		before, rejects := state.toldSlowness, state.toldRejects
+		s.engine.Told([]sighting.Sighting{ // a replica that is gone, and another start of this one
+			{Replica: "nobody", Slowness: 3, At: time.Now()},
+			{Replica: "s0-a", Born: 2, Slowness: 9, At: time.Now()},
+			{Replica: "s0-a", Born: 2, At: time.Now()},
+		})
+		is.Equal(state.toldSlowness, before)
+		is.Equal(state.toldRejects, rejects)
 	})
 }
 
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -54,9 +54,11 @@
 	g.extra.request(now, s.engine.allowance(now))
 	if chosen != nil {
 		s.send(chosen, g, false, nil, now)
-	} else { // all connections are in use, or the replicas are cold
+	} else { // all connections are in use, or the replicas are cold or want no requests
 		s.part.reason = verdict.Overloaded
-		s.part.retryAt = now.Add(rejectedPause)
+		if !s.wait(g, now) {
+			return s.fail()
+		}
 	}
 	timer := time.NewTimer(s.untilNext(now))
 	defer timer.Stop()
@@ -139,11 +141,9 @@
 	}
 	chosen, g := s.engine.choose(s.request.Route, s.part.service, s.part.tried, false, s.expected, now)
 	if chosen == nil {
-		if g == nil || s.ran || len(s.part.tried) == 0 && now.Add(rejectedPause).Sub(s.request.Arrived) > s.longestWait() {
+		if g == nil || s.ran || !s.wait(g, now) {
 			return s.fail(), true
 		}
-		s.part.tried = s.part.tried[:0]
-		s.part.retryAt = now.Add(rejectedPause)
 		return Result{}, false
 	}
 	paid := g.extra
@@ -163,6 +163,20 @@
 	return Result{}, false
 }
 
+// wait makes the request wait for a replica, but not for longer than longestWait after it arrived: one that all replicas have just
+// rejected is tried once more in any case, unless they want no request for longer.
+func (s *single) wait(g *group, now time.Time) bool {
+	at, ok := g.takesRequests(s.request.Route, now)
+	rejected := len(s.part.tried) > 0 && !at.After(now)
+	at = latest(at, now.Add(rejectedPause))
+	if !ok || !rejected && at.Sub(s.request.Arrived) > s.longestWait() {
+		return false
+	}
+	s.part.tried = s.part.tried[:0]
+	s.part.retryAt = at
+	return true
+}
+
 // longestWait is how long the request waits for a replica that takes it at all: a caller that is refused soon can be served
 // elsewhere in time.
 func (s *single) longestWait() time.Duration {
@@ -176,8 +190,13 @@
 		return Result{Answer: s.last, Trace: s.trace}
 	}
 	failure := verdict.New(s.verdict(), s.part.reason, "the request could not be served")
-	if failure.Verdict == verdict.NotRun {
-		failure = failure.WithRetryAfter(retryAfter)
+	now := time.Now()
+	from, ok := s.engine.plan.Load().groups[s.part.service].takesRequests(s.request.Route, now)
+	switch {
+	case !ok:
+		failure = failure.WithRetryAfter(downRetryAfter)
+	case from.After(now) || failure.Verdict == verdict.NotRun:
+		failure = failure.WithRetryAfter(max(retryAfter, from.Sub(now)))
 	}
 	return s.refuse(failure)
 }
--- a/internal/lookup/state.go
+++ b/internal/lookup/state.go
@@ -26,6 +26,10 @@
 	Silent // silent
 	// Misdirected replicas have lost their address to another process.
 	Misdirected // misdirected
+	// Leaving replicas have said that they leave, before their entry says so.
+	Leaving // leaving
+	// Paused replicas have asked for a pause that has not ended.
+	Paused // paused
 )
 
 const (
@@ -44,6 +48,10 @@
 	switch {
 	case l.misdirected:
 		return Misdirected
+	case l.said.leaving:
+		return Leaving
+	case now.Before(l.said.pausedUntil):
+		return Paused
 	case now.Before(l.suspect) || l.silent > 0:
 		return Silent
 	case l.stalled(now):
--- a/internal/lookup/state_string.go
+++ b/internal/lookup/state_string.go
@@ -15,11 +15,13 @@
 	_ = x[Failing-4]
 	_ = x[Silent-5]
 	_ = x[Misdirected-6]
+	_ = x[Leaving-7]
+	_ = x[Paused-8]
 }
 
-const _State_name = "soundcoldslowstalledfailingsilentmisdirected"
+const _State_name = "soundcoldslowstalledfailingsilentmisdirectedleavingpaused"
 
-var _State_index = [...]uint8{0, 5, 9, 13, 20, 27, 33, 44}
+var _State_index = [...]uint8{0, 5, 9, 13, 20, 27, 33, 44, 51, 57}
 
 func (i State) String() string {
 	idx := int(i) - 0
