Learn the round trip to callers by connection and network

Cause: answers of fan-outs leave 9 ms before the objective, whoever asks.

Change: the wait before the first request of a connection is its round trip; networks of callers (/24, /48) keep a value near the least for connections whose first request shows none. What is reserved is the round trip and 4 ms. A wait of up to a third of the objective (a quarter before) counts as the caller's.

--- a/internal/httpapi/limited.go
+++ b/internal/httpapi/limited.go
@@ -29,6 +29,12 @@
 	ReadTimeout time.Duration
 }
 
+// connectionHandler is a handler that keeps something for each connection.
+type connectionHandler interface {
+	// ConnContext returns the context of all requests on a new connection.
+	ConnContext(ctx context.Context, connection net.Conn) context.Context
+}
+
 // LimitedServer serves one handler under limits that may change while it runs. New connections get the limits of now;
 // those that are open keep theirs and close with their next answer, so that no request is cut by a change. It is safe
 // for concurrent use.
@@ -83,6 +89,9 @@
 		}),
 		ConnState: func(_ net.Conn, state http.ConnState) { s.count(g, state) },
 	}
+	if handler, ok := s.handler.(connectionHandler); ok {
+		g.server.ConnContext = handler.ConnContext
+	}
 	s.background.Go(func() { _ = g.server.Serve(g.queue) }) // it ends when the queue is closed
 	return g
 }
--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// wayBack is the time kept for the request's way here and the answer's way back, which count in the caller's objective.
-	wayBack = 9 * time.Millisecond
 	// lastMoment is the time kept before the deadline for a final refusal or a late answer.
 	lastMoment = 20 * time.Millisecond
 	// linger is how long sends that are still running go on after their request was answered: a part that is nearly done
@@ -80,6 +78,7 @@
 	counters   Counters
 	paces      sync.Map // name of a route to *pace
 	gates      sync.Map // first shard of a route to *gate
+	networks   networks
 
 	// updating guards the states that outlive a plan.
 	updating sync.Mutex
@@ -194,11 +193,14 @@
 		return Result{Failure: verdict.New(verdict.NotRun, verdict.Overloaded, "%d requests in progress", mostRequests).WithRetryAfter(retryAfter)}
 	}
 	defer e.running.Add(-1)
-	if e.paceOf(request.Route).memory.Full() {
+	usual := e.paceOf(request.Route)
+	if usual.memory.Full() {
 		return Result{Failure: verdict.New(verdict.NotRun, verdict.Overloaded, "no memory left for answers").WithRetryAfter(retryAfter)}
 	}
+	waited := usual.given.waited(request.Left, request.Route.Objective)
+	request.Connection.learn(waited)
 	if len(request.Route.Shards) > 0 {
-		return newFanout(ctx, e, request).run()
+		return newFanout(ctx, e, request, waited).run()
 	}
 	return newSingle(ctx, e, request).run()
 }
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -49,7 +49,7 @@
 	trace       Trace
 }
 
-func newFanout(ctx context.Context, e *Engine, request *Request) *fanout {
+func newFanout(ctx context.Context, e *Engine, request *Request, waited time.Duration) *fanout {
 	route := request.Route
 	f := &fanout{
 		engine:   e,
@@ -65,8 +65,7 @@
 	f.expected = f.usual.usual()
 	f.gate = e.gateOf(route)
 	f.composeAt = f.giveUpAt
-	waited := f.usual.given.waited(request.Left, route.Objective)
-	if objective := request.Arrived.Add(route.Objective - wayBack - waited); route.Objective > 0 && objective.Before(f.giveUpAt) {
+	if objective := request.Arrived.Add(route.Objective - request.Connection.reserve() - waited); route.Objective > 0 && objective.Before(f.giveUpAt) {
 		f.composeAt = objective
 	}
 	f.trace.Shards = len(f.parts)
--- a/internal/lookup/fanout_test.go
+++ b/internal/lookup/fanout_test.go
@@ -77,7 +77,7 @@
 		result := s.run(s.fan)
 		is.True(result.Failure == nil)
 		is.Equal(result.Missing, 1)
-		is.True(time.Since(began) <= objective-wayBack)
+		is.True(time.Since(began) <= objective-usualRoundTrip-answerMargin)
 		is.Equal(result.Trace.Missed[verdict.DeadlinePassed], 1)
 	})
 }
--- a/internal/lookup/given.go
+++ b/internal/lookup/given.go
@@ -10,7 +10,7 @@
 	givenWindow = 64
 	// mostWaited bounds what a caller is taken to have waited, as a part of the objective. Beyond it the request is a repeated
 	// one, or its caller gives less time than others do, and the objective counts from its arrival.
-	mostWaited = 0.25
+	mostWaited = 1.0 / 3
 )
 
 // givenTimes learns how much time callers of one route give a request in all. A caller says how much is left when it sends; what
--- a/internal/lookup/given_test.go
+++ b/internal/lookup/given_test.go
@@ -64,7 +64,7 @@
 			return time.Since(began)
 		}
 		kept := took(timeout)
-		is.Equal(kept, objective-wayBack)
+		is.Equal(kept, objective-usualRoundTrip-answerMargin)
 		is.Equal(took(timeout-12*time.Millisecond), kept-12*time.Millisecond)
 	})
 }
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -25,6 +25,8 @@
 	Route *routing.Route
 	// Arrived is when the whole request was read.
 	Arrived time.Time
+	// Connection is the caller's; nil where it is not known.
+	Connection *Connection
 	// Left is the time that the caller said it would wait when it sent the request; zero if it did not.
 	Left time.Duration
 	// Deadline is when the caller, or the route, gives the request up.
--- a/internal/lookup/notice_test.go
+++ b/internal/lookup/notice_test.go
@@ -184,7 +184,7 @@
 	inBubble(t, func(t *testing.T) {
 		is := is.New(t)
 		from := time.Now()
-		s := newStage(t, func(id fleet.ServerID, now time.Time) behaviour {
+		s := newStage(t, func(_ fleet.ServerID, now time.Time) behaviour {
 			if left := from.Add(25 * time.Millisecond).Sub(now); left > 0 {
 				return pausing(left)
 			}
