Learn short round trips only once the time that callers give is known

Cause: while an instance has seen few requests, the longest time that callers give is underestimated, and so is the wait before a first request.

TestRoundTripOfANetwork, TestGivenTimeIsKnown.

--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -83,6 +83,7 @@
 	// updating guards the states that outlive a plan.
 	updating sync.Mutex
 	loads    map[fleet.ServerID]known
+	contacts map[fleet.ZoneID]*contact
 	budgets  map[fleet.ServiceID]*budget
 }
 
@@ -98,6 +99,7 @@
 		started:    time.Now(),
 		firstStart: options.FirstStart,
 		loads:      make(map[fleet.ServerID]known),
+		contacts:   make(map[fleet.ZoneID]*contact),
 		budgets:    make(map[fleet.ServiceID]*budget),
 		reach:      reach{doubtful: make(map[fleet.ZoneID]time.Time)},
 	}
@@ -197,8 +199,8 @@
 	if usual.memory.Full() {
 		return Result{Failure: verdict.New(verdict.NotRun, verdict.Overloaded, "no memory left for answers").WithRetryAfter(retryAfter)}
 	}
-	waited := usual.given.waited(request.Left, request.Route.Objective)
-	request.Connection.learn(waited)
+	waited, sure := usual.given.waited(request.Left, request.Route.Objective)
+	request.Connection.learn(waited, sure)
 	if len(request.Route.Shards) > 0 {
 		return newFanout(ctx, e, request, waited).run()
 	}
--- a/internal/lookup/given_test.go
+++ b/internal/lookup/given_test.go
@@ -39,13 +39,26 @@
 		t.Run(name, func(t *testing.T) {
 			var g givenTimes
 			for _, left := range test.before {
-				g.waited(ms(left), objective)
+				_, _ = g.waited(ms(left), objective)
 			}
-			is.New(t).Equal(g.waited(ms(test.left), objective), ms(test.want))
+			waited, _ := g.waited(ms(test.left), objective)
+			is.New(t).Equal(waited, ms(test.want))
 		})
 	}
 }
 
+// TestGivenTimeIsKnown guards against a wait that counts as sure before the time that callers give is known.
+func TestGivenTimeIsKnown(t *testing.T) {
+	is := is.New(t)
+	var g givenTimes
+	for n := range givenWindow + enoughGiven/2 {
+		_, sure := g.waited(time.Second, time.Second)
+		is.Equal(sure, n+1 >= enoughGiven)
+	}
+	_, sure := g.waited(0, time.Second)
+	is.True(!sure)
+}
+
 // TestAnswerCountsTheCallersWait guards against an answer in time for a caller that did not have to open a connection, and late
 // for one that did: one shard is silent, and the answer must leave as much earlier as the caller came later.
 func TestAnswerCountsTheCallersWait(t *testing.T) {
--- a/internal/lookup/round_trip.go
+++ b/internal/lookup/round_trip.go
@@ -79,9 +79,10 @@
 }
 
 // learn takes what the caller has waited before it sent a request. Before the first one it has waited for the connection, which
-// takes a round trip. A caller whose first request here is a repeated one has waited for longer.
-func (c *Connection) learn(waited time.Duration) {
-	if c == nil || c.used.Swap(true) || waited < leastRoundTrip {
+// takes a round trip. A caller whose first request here is a repeated one has waited for longer. A wait that may have been longer
+// is not taken for a short way: answers that leave too late cost more than a few parts.
+func (c *Connection) learn(waited time.Duration, sure bool) {
+	if c == nil || c.used.Swap(true) || waited < leastRoundTrip || !sure && waited < usualRoundTrip {
 		return
 	}
 	if usual := c.network.observe(waited); waited <= mostLonger*usual {
@@ -105,7 +106,7 @@
 }
 
 // reserve returns the time kept for the way of a request and that of its answer, which count in the caller's objective. It answers
-// callers near and far: a constant long enough for those in another zone takes from the parts of all others.
+// callers near and far: a constant long enough for those in another zone or region takes from the parts of all others.
 func (c *Connection) reserve() time.Duration {
 	if c != nil {
 		for _, learnt := range []int64{c.roundTrip.Load(), c.network.roundTrip.Load()} {
--- a/internal/lookup/round_trip_test.go
+++ b/internal/lookup/round_trip_test.go
@@ -68,3 +68,42 @@
 	}
 	is.True(len(n.known) <= mostNetworks)
 }
+
+// TestRoundTripOfANetwork guards against a round trip that is far from the one that most connections of a network show: because
+// some of them began with a repeated request, or while the time that callers give was not known.
+func TestRoundTripOfANetwork(t *testing.T) {
+	type seen struct {
+		waited int // ms
+		sure   bool
+	}
+	usual := int(usualRoundTrip / time.Millisecond)
+	for name, test := range map[string]struct {
+		before []seen
+		last   seen
+		// connection and network are the round trips that are counted with then, in ms: of the last connection, and of one that
+		// has shown none.
+		connection, network int
+	}{
+		"nothing":                          {nil, seen{0, false}, usual, usual},
+		"near":                             {nil, seen{2, true}, 2, 2},
+		"near, but not sure":               {nil, seen{2, false}, usual, usual},
+		"far, not sure":                    {nil, seen{9, false}, 9, 9},
+		"opened before it was needed":      {[]seen{{8, true}}, seen{0, true}, 8, 8},
+		"repeated":                         {[]seen{{8, true}}, seen{24, true}, 9, 9},
+		"repeated again and again":         {[]seen{{8, true}, {24, true}, {24, true}, {24, true}, {8, true}, {8, true}}, seen{24, true}, 10, 10},
+		"first one repeated, then several": {[]seen{{32, true}, {8, true}, {8, true}, {8, true}, {8, true}, {8, true}, {8, true}, {8, true}}, seen{0, true}, 11, 11},
+		"far away":                         {[]seen{{40, true}}, seen{41, true}, 41, 40},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := &network{}
+			for _, s := range test.before {
+				(&Connection{network: n}).learn(time.Duration(s.waited)*time.Millisecond, s.sure)
+			}
+			last := &Connection{network: n}
+			last.learn(time.Duration(test.last.waited)*time.Millisecond, test.last.sure)
+			is.Equal((last.reserve() - answerMargin).Truncate(time.Millisecond), time.Duration(test.connection)*time.Millisecond)
+			is.Equal(((&Connection{network: n}).reserve() - answerMargin).Truncate(time.Millisecond), time.Duration(test.network)*time.Millisecond)
+		})
+	}
+}
