Judge the contact to a zone by what was sent after its last answer; let readiness fall on doubt

Cause: a zone is found cut 0.6 s after the cut, because a replica counts as silent only 300 ms after its last answer, and the zone while none has answered for 300 ms. If a question of the balancer falls in between, it is answered as if nothing had happened, and a whole second more of callers is sent to an instance that refuses them.

Ruled out: a smaller number of silent replicas and shorter times with the old evidence: half of a zone that is down, or few requests, then look like a cut (TestReadinessStays, nine kinds of trouble that are none).

Change: evidence of a cut are four replicas to which requests were sent after the last answer of any replica of their zone, without an answer in the time that lets expect one. It needs no window: with many requests it is there 100 ms after the cut, with few of them at the next request, and while a zone is reached its answers refute it. The balancer is told not ready on this evidence for all other zones, if the own zone does not reach the floors alone; a wrong answer changes nothing, because it takes two in a row. The judgement that refuses requests still needs probes in vain for 250 ms. A trial request, which finds out whether replicas are back, goes on after its refusal for as long as an answer takes; before, it was cancelled after 8 ms and found out nothing.

Each condition switched off fails TestReadinessFallsWithTheZone, TestReadinessStays, TestZoneCut or TestReadinessOfAZoneThatNeedsNoOther.

--- a/internal/lookup/compose.go
+++ b/internal/lookup/compose.go
@@ -109,9 +109,15 @@
 	f.gate.intake.observe(now, f.answered+overloaded >= f.floor)
 }
 
-// refuse ends the request without an answer; nobody waits for its parts any more.
+// refuse ends the request without an answer. Nobody waits for its parts any more, but those of a trial show which replicas are
+// well, and go on for as long as an answer takes.
 func (f *fanout) refuse(failure *verdict.Error) Result {
-	f.cancel()
+	if f.trial && failure.Reason != verdict.Cancelled {
+		f.callerStays()
+		time.AfterFunc(stallAfter(f.expected), f.cancel)
+	} else {
+		f.cancel()
+	}
 	f.judgeLate(time.Now())
 	if failure.Reason != verdict.Cancelled {
 		f.judgeLoad(time.Now())
--- a/internal/lookup/fake_test.go
+++ b/internal/lookup/fake_test.go
@@ -28,6 +28,7 @@
 	delay   time.Duration
 	silent  bool
 	hangs   bool // silent, but accepts connections
+	refuses bool // probes fail at once
 	outcome Outcome
 }
 
@@ -83,7 +84,7 @@
 func (b *backends) Probe(_ context.Context, to directory.Replica) error {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.behave(to.ID, time.Now()).silent {
+	if how := b.behave(to.ID, time.Now()); how.silent || how.refuses {
 		return fmt.Errorf("no answer")
 	}
 	return nil
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -46,7 +46,9 @@
 	failed      int
 	ran         bool
 	judged      bool
-	trace       Trace
+	// trial is set for a request that most likely cannot reach its floor, and is sent to find out whether replicas are back.
+	trial bool
+	trace Trace
 }
 
 func newFanout(ctx context.Context, e *Engine, request *Request, waited time.Duration) *fanout {
@@ -135,6 +137,7 @@
 		again, worthTrying = max(retryAfter, from.Sub(now)), false
 	}
 	if worthTrying && !f.engine.Isolated() && f.engine.mayTry(now) {
+		f.trial = true
 		return nil
 	}
 	return verdict.New(verdict.NotRun, verdict.NoReplica, "%d of %d shards have a replica that answers, %d are needed",
--- a/internal/lookup/load.go
+++ b/internal/lookup/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,7 +44,9 @@
 // load is what this instance knows of one start of a replica from its own sends. It answers three patterns: a replica
 // that pauses, one that is slow for seconds, and one that rejects or loses part of its requests.
 type load struct {
-	id      fleet.ServerID
+	id fleet.ServerID
+	// contact is that of the replica's zone; nil where it does not matter.
+	contact *contact
 	mutex   sync.Mutex
 	waiting []waiting // in the order of sending
 	numbers uint64
@@ -53,7 +56,9 @@
 	slowness, toldSlowness smoothed
 	rejects, toldRejects   smoothed
 	silent                 int // sends in a row without an answer
-	suspect                time.Time
+	// missed is the first send without an answer since the zone was heard last.
+	missed  waiting
+	suspect time.Time
 	// probing is set while a probe runs; reached is when the last successful one ended. vouched is set once a probe has
 	// ended a suspicion, until the replica answers a request.
 	probing bool
@@ -94,6 +99,7 @@
 	l.heed(now, outcome)
 	switch {
 	case outcome.answered():
+		l.contact.hear(now)
 		if l.silent > 0 {
 			klog.InfoS("Replica answers again", "replica", l.id, "silent-for", ageOf(l.heard, now), "sends-unanswered", l.silent)
 		}
@@ -115,6 +121,7 @@
 		seen.ratio = l.unanswered(now, elapsed, ended)
 	case outcome.Reason == verdict.ConnectFailed:
 		seen.ratio = mostSlowness
+		l.miss(ended)
 		l.suspectFor(now, outcome.Reason)
 	case outcome.Reason == verdict.Overloaded:
 		// Every connection of this instance is in use; nothing is learnt of the replica.
@@ -133,6 +140,7 @@
 	}
 	ratio = l.observe(now, elapsed, ended.expected)
 	if l.heard.Before(ended.sent) {
+		l.miss(ended)
 		l.suspectFor(now, verdict.DeadlinePassed)
 	}
 	return ratio
@@ -310,11 +318,20 @@
 	return now.Before(l.suspect) || l.stalled(now) && !l.sound(now)
 }
 
-// isSound tells whether the replica has answered just now.
-func (l *load) isSound(now time.Time) bool {
+func (l *load) miss(ended waiting) {
+	if !l.missed.sent.After(l.contact.lastHeard()) {
+		l.missed = ended
+	}
+}
+
+// overdue tells whether a request that was sent after the zone was heard last has no answer although it should. A refused
+// connection counts only then, too: other replicas may still answer what was sent at the same time.
+func (l *load) overdue(now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.sound(now)
+	heard := l.contact.lastHeard()
+	overdue := func(w *waiting) bool { return w.sent.After(heard) && now.Sub(w.sent) > stallAfter(w.expected) }
+	return overdue(&l.missed) || slices.ContainsFunc(l.waiting, func(w waiting) bool { return overdue(&w) })
 }
 
 func (l *load) sound(now time.Time) bool {
@@ -362,6 +379,7 @@
 		return
 	}
 	l.reached = now
+	l.contact.hear(now)
 	if !l.vouched && (l.silent > 0 || now.Before(l.suspect)) {
 		l.vouched = true
 		l.suspect = time.Time{}
--- a/internal/lookup/notice_test.go
+++ b/internal/lookup/notice_test.go
@@ -148,6 +148,7 @@
 				})
 				result := s.run(s.fan)
 				s.run(s.one)
+				time.Sleep(2 * work) // a send of the first request may not have begun when that has ended
 				asked := s.total()
 				if !test.whole { // the parts that ran are lost, and the caller's next attempt would be as well
 					is.Equal(result.Failure.Reason, verdict.CoverageBelowFloor)
--- a/internal/lookup/plan.go
+++ b/internal/lookup/plan.go
@@ -47,7 +47,7 @@
 		for _, replica := range replicas {
 			state := e.loads[replica.ID]
 			if state.load == nil || !state.replica.SameProcess(replica) {
-				state = known{load: &load{id: replica.ID}}
+				state = known{load: &load{id: replica.ID, contact: e.contactWith(replica.Zone)}}
 			}
 			state.replica, state.absent = replica, time.Time{}
 			loads[replica.ID] = state
@@ -134,6 +134,16 @@
 	absent time.Time
 }
 
+// contactWith returns what is known of the contact to a zone, which outlives the plan.
+func (e *Engine) contactWith(zone fleet.ZoneID) *contact {
+	found := e.contacts[zone]
+	if found == nil {
+		found = &contact{}
+		e.contacts[zone] = found
+	}
+	return found
+}
+
 func (e *Engine) budgetOf(id fleet.ServiceID) *budget {
 	known, ok := e.budgets[id]
 	if !ok {
--- a/internal/lookup/reach.go
+++ b/internal/lookup/reach.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"iter"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -45,14 +47,37 @@
 	Probe(ctx context.Context, to directory.Replica) error
 }
 
-// contact is what is known of the replicas in one zone.
+// contact is the contact to the replicas of one zone. It is safe for concurrent use; nil is that of no zone.
 type contact struct {
-	silent int
-	sound  bool
+	heard atomic.Int64 // Unix nanoseconds of the last answer or successful probe
 }
 
+func (c *contact) hear(now time.Time) {
+	if c != nil {
+		c.heard.Store(now.UnixNano())
+	}
+}
+
+func (c *contact) lastHeard() time.Time {
+	if c == nil {
+		return time.Time{}
+	}
+	return time.Unix(0, c.heard.Load())
+}
+
+// remoteZone is one look at the contact to another zone.
+type remoteZone struct {
+	heard time.Time
+	// unanswered is the number of replicas to which requests were sent after the zone was heard last, without an answer in the
+	// time that lets expect one. While the zone is reached, the answers of other replicas keep it low.
+	unanswered int
+}
+
+// sound tells whether the zone has answered just now.
+func (z remoteZone) sound(now time.Time) bool { return now.Sub(z.heard) <= soundFor }
+
 // doubtful tells whether the zone may be cut off from this instance or down as a whole.
-func (c contact) doubtful() bool { return !c.sound && c.silent >= cutEvidence }
+func (z remoteZone) doubtful() bool { return z.unanswered >= cutEvidence }
 
 // reach judges the other zones from the contact to them. A zone in doubt is taken for cut off once replicas of it that
 // were not known to be silent have been tried in vain: the silent ones may be shards that are down for everyone.
@@ -62,7 +87,7 @@
 }
 
 // judge returns the zones that are cut off, and whether any is in doubt, so that replicas should be tried.
-func (r *reach) judge(remote map[fleet.ZoneID]contact, now time.Time) (cut map[fleet.ZoneID]bool, doubt bool) {
+func (r *reach) judge(remote map[fleet.ZoneID]remoteZone, now time.Time) (cut map[fleet.ZoneID]bool, doubt bool) {
 	cut = make(map[fleet.ZoneID]bool)
 	for id, zone := range remote {
 		began, known := r.doubtful[id]
@@ -79,10 +104,10 @@
 	return cut, len(r.doubtful) > 0
 }
 
-func (r *reach) log(cut map[fleet.ZoneID]bool, remote map[fleet.ZoneID]contact) {
+func (r *reach) log(cut map[fleet.ZoneID]bool, remote map[fleet.ZoneID]remoteZone) {
 	for id := range cut {
 		if !r.cut[id] {
-			klog.InfoS("Zone cut off", "zone", id, "silent-replicas", remote[id].silent)
+			klog.InfoS("Zone cut off", "zone", id, "silent-replicas", remote[id].unanswered)
 		}
 	}
 	for id := range r.cut {
@@ -90,7 +115,7 @@
 		switch {
 		case cut[id]:
 		case listed:
-			klog.InfoS("Zone reached again", "zone", id, "silent-replicas", zone.silent)
+			klog.InfoS("Zone reached again", "zone", id, "silent-replicas", zone.unanswered)
 		default:
 			klog.InfoS("Zone without replicas", "zone", id)
 		}
@@ -101,9 +126,9 @@
 // isolated decides whether this instance is cut off from all other zones: one is cut off and none answers. It answers a
 // zone that is cut off while its callers still reach it; most of their requests cannot be served here, but can be
 // elsewhere.
-func isolated(remote map[fleet.ZoneID]contact, cut map[fleet.ZoneID]bool) bool {
+func isolated(remote map[fleet.ZoneID]remoteZone, cut map[fleet.ZoneID]bool, now time.Time) bool {
 	for _, zone := range remote {
-		if zone.sound {
+		if zone.sound(now) {
 			return false
 		}
 	}
@@ -124,6 +149,22 @@
 	return !e.isolation.since.IsZero()
 }
 
+// MayBeIsolated tells whether the instance is isolated, or most likely is: no other zone answers, and the own one does not reach
+// every floor. It is for the balancer, which moves callers after two answers in a row: a wrong one changes nothing, while certainty
+// that comes after one of its questions costs the callers another second.
+func (e *Engine) MayBeIsolated(now time.Time) bool {
+	if e.Isolated() {
+		return true
+	}
+	remote := e.remoteZones(now)
+	for _, zone := range remote {
+		if !zone.doubtful() {
+			return false
+		}
+	}
+	return len(remote) > 0 && !e.reachesFloorsAlone(now)
+}
+
 // returnAfter tells a caller of an isolated instance when the balancer will send it elsewhere; otherwise it returns the
 // usual time.
 func (e *Engine) returnAfter(now time.Time) time.Duration {
@@ -158,7 +199,7 @@
 // judgeZones takes every replica of a zone that is cut off for silent at once, instead of one after the other as each
 // lets a request wait in vain.
 func (e *Engine) judgeZones(ctx context.Context, prober Prober, now time.Time) {
-	remote := e.contacts(now)
+	remote := e.remoteZones(now)
 	cut, doubt := e.reach.judge(remote, now)
 	if doubt {
 		e.tryZones(ctx, prober, remote, now)
@@ -170,7 +211,7 @@
 			}
 		}
 	}
-	switch was, is := e.Isolated(), isolated(remote, cut); {
+	switch was, is := e.Isolated(), isolated(remote, cut, now); {
 	case !was && is && !e.reachesFloors(now):
 		e.setIsolated(now)
 		klog.InfoS("Isolated", "zone", e.zone, "zones-cut", len(cut), "zones", len(remote))
@@ -182,11 +223,12 @@
 
 // tryZones probes some replicas of each zone of which none has answered just now, first those that are not known to be silent:
 // one that accepts shows that the zone is reached.
-func (e *Engine) tryZones(ctx context.Context, prober Prober, remote map[fleet.ZoneID]contact, now time.Time) {
+func (e *Engine) tryZones(ctx context.Context, prober Prober, remote map[fleet.ZoneID]remoteZone, now time.Time) {
 	started := make(map[fleet.ZoneID]int)
 	for _, knownSilent := range []bool{false, true} {
 		for m := range e.scattered(e.plan.Load().remote) {
-			if remote[m.Zone].sound || started[m.Zone] >= triesAZone || m.load.isSilent(now) != knownSilent {
+			zone := remote[m.Zone]
+			if !zone.doubtful() && zone.sound(now) || started[m.Zone] >= triesAZone || m.load.isSilent(now) != knownSilent {
 				continue
 			}
 			if m.load.startProbe(now, true) {
@@ -230,29 +272,19 @@
 	e.isolation.since = since
 }
 
-// contacts returns the contact to each other zone. Whether a zone is sound is found out only if one of them has enough silent
-// replicas to be in doubt, because it takes a look at every replica.
-func (e *Engine) contacts(now time.Time) map[fleet.ZoneID]contact {
-	zones := make(map[fleet.ZoneID]contact)
-	remote := e.plan.Load().remote
-	enough := false
-	for _, m := range remote {
+// remoteZones looks at the contact to each other zone. Replicas that have answered every request cost nothing here.
+func (e *Engine) remoteZones(now time.Time) map[fleet.ZoneID]remoteZone {
+	zones := make(map[fleet.ZoneID]remoteZone)
+	for _, m := range e.plan.Load().remote {
 		zone, known := zones[m.Zone]
-		silent := m.load.uncertain.Load() && m.load.isSilent(now)
-		if silent {
-			zone.silent++
-			enough = enough || zone.silent >= cutEvidence
+		if !known {
+			zone.heard = m.load.contact.lastHeard()
 		}
-		if silent || !known {
-			zones[m.Zone] = zone
+		unanswered := m.load.uncertain.Load() && m.load.overdue(now)
+		if unanswered {
+			zone.unanswered++
 		}
-	}
-	if !enough {
-		return zones
-	}
-	for _, m := range remote {
-		if zone := zones[m.Zone]; !zone.sound && m.load.isSound(now) {
-			zone.sound = true
+		if unanswered || !known {
 			zones[m.Zone] = zone
 		}
 	}
@@ -273,6 +305,30 @@
 	return true
 }
 
+// reachesFloorsAlone tells whether every route with shards can reach its floor with the replicas of the own zone.
+func (e *Engine) reachesFloorsAlone(now time.Time) bool {
+	current := e.plan.Load()
+	for _, route := range current.table.Routes() {
+		count := 0
+		for _, service := range route.Shards {
+			if current.groups[service].answersIn(route, e.zone, now) {
+				count++
+			}
+		}
+		if len(route.Shards) > 0 && count < floorOf(route) {
+			return false
+		}
+	}
+	return true
+}
+
+// answersIn tells whether a replica in the zone that the route allows is expected to answer; the group may be nil.
+func (g *group) answersIn(route *routing.Route, zone fleet.ZoneID, now time.Time) bool {
+	return g != nil && slices.ContainsFunc(g.members, func(m member) bool {
+		return m.Zone == zone && route.Allows(m.Region) && m.load.mayAnswer(now)
+	})
+}
+
 // likely returns the number of the route's shards with a replica that is expected to answer.
 func (e *Engine) likely(current *plan, route *routing.Route, now time.Time) int {
 	count := 0
