Tell the instances of a zone of a zone in doubt

Cause: with 118 instances each gets half a request a second, and notices that its zone is cut off with its next request only, up to 2 s after the first instance did; until then it calls itself ready and its callers are refused.

Ruled out: taking the word of another instance, which a stranger could give.

Change: the first sign of a cut goes to the board of the zone and from there to its instances at once, without the second sighting that replicas need. Whoever is told opens connections to replicas of the zone in doubt; those that were well and do not accept one in 200 ms count as evidence like requests without an answer.

TestZoneHearsOfACut, TestToldOfAZone, TestBoardPassesZonesOn, TestDoubtOfAnother.

--- a/internal/lookup/load.go
+++ b/internal/lookup/load.go
@@ -63,7 +63,10 @@
 	// ended a suspicion, until the replica answers a request.
 	probing bool
 	vouched bool
-	reached time.Time
+	// surprising is when the running probe began, if the replica was not known to be silent; zero otherwise. That it fails is
+	// evidence of a cut.
+	surprising time.Time
+	reached    time.Time
 	// misdirected is set when another process answers at the address.
 	misdirected bool
 	coldSends   []time.Time
@@ -361,7 +364,12 @@
 	if l.probing || l.misdirected || l.said.leaving {
 		return false
 	}
-	l.probing = sound || !l.vouched && (l.silent > 0 || now.Before(l.suspect))
+	silent := l.silent > 0 || now.Before(l.suspect)
+	l.probing = sound || !l.vouched && silent
+	l.surprising = time.Time{}
+	if !silent {
+		l.surprising = now
+	}
 	return l.probing
 }
 
@@ -372,6 +380,10 @@
 	defer l.mutex.Unlock()
 	l.probing = false
 	if !reached {
+		if !l.surprising.IsZero() {
+			l.miss(waiting{sent: l.surprising})
+			l.uncertain.Store(true)
+		}
 		// No request has to find out that it is still silent.
 		if l.silent > 0 && !l.vouched {
 			l.suspect = latest(l.suspect, now.Add(longestSuspicion))
--- a/internal/lookup/reach.go
+++ b/internal/lookup/reach.go
@@ -5,7 +5,6 @@
 	"iter"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -17,11 +16,6 @@
 )
 
 const (
-	// cutEvidence is the least number of silent replicas in a zone, with none that answers, that shows that the zone is
-	// cut off or down. Fewer may have failed by themselves at the same time.
-	cutEvidence = 4
-	// soundFor is how long an answer from another zone shows that it is reached.
-	soundFor = 300 * time.Millisecond
 	// checkReach is how often the contact to other zones is judged.
 	checkReach = 100 * time.Millisecond
 	// cutSuspicion is how long the replicas of a zone that was found cut off are taken for silent at a time.
@@ -47,48 +41,18 @@
 	Probe(ctx context.Context, to directory.Replica) error
 }
 
-// contact is the contact to the replicas of one zone. It is safe for concurrent use; nil is that of no zone.
-type contact struct {
-	heard atomic.Int64 // Unix nanoseconds of the last answer or successful probe
-}
-
-func (c *contact) hear(now time.Time) {
-	if c != nil {
-		c.heard.Store(now.UnixNano())
-	}
-}
-
-func (c *contact) lastHeard() time.Time {
-	if c == nil {
-		return time.Time{}
-	}
-	return time.Unix(0, c.heard.Load())
-}
-
-// remoteZone is one look at the contact to another zone.
-type remoteZone struct {
-	heard time.Time
-	// unanswered is the number of replicas to which requests were sent after the zone was heard last, without an answer in the
-	// time that lets expect one. While the zone is reached, the answers of other replicas keep it low.
-	unanswered int
-}
-
-// sound tells whether the zone has answered just now.
-func (z remoteZone) sound(now time.Time) bool { return now.Sub(z.heard) <= soundFor }
-
-// doubtful tells whether the zone may be cut off from this instance or down as a whole.
-func (z remoteZone) doubtful() bool { return z.unanswered >= cutEvidence }
-
 // reach judges the other zones from the contact to them. A zone in doubt is taken for cut off once replicas of it that
 // were not known to be silent have been tried in vain: the silent ones may be shards that are down for everyone.
 type reach struct {
 	doubtful map[fleet.ZoneID]time.Time // when the doubt began
 	cut      map[fleet.ZoneID]bool      // as judged last
+	fresh    []fleet.ZoneID             // whose doubt has begun with the last judgement
 }
 
-// judge returns the zones that are cut off, and whether any is in doubt, so that replicas should be tried.
+// judge returns the zones that are cut off, and whether any is in doubt, here or elsewhere, so that replicas should be tried.
 func (r *reach) judge(remote map[fleet.ZoneID]remoteZone, now time.Time) (cut map[fleet.ZoneID]bool, doubt bool) {
 	cut = make(map[fleet.ZoneID]bool)
+	r.fresh = r.fresh[:0]
 	for id, zone := range remote {
 		began, known := r.doubtful[id]
 		switch {
@@ -96,12 +60,17 @@
 			delete(r.doubtful, id)
 		case !known:
 			r.doubtful[id] = now
+			r.fresh = append(r.fresh, id)
 		case now.Sub(began) >= doubtFor:
 			cut[id] = true
 		}
 	}
 	r.log(cut, remote)
-	return cut, len(r.doubtful) > 0
+	told := false
+	for _, zone := range remote {
+		told = told || zone.told
+	}
+	return cut, len(r.doubtful) > 0 || told
 }
 
 func (r *reach) log(cut map[fleet.ZoneID]bool, remote map[fleet.ZoneID]remoteZone) {
@@ -201,6 +170,9 @@
 func (e *Engine) judgeZones(ctx context.Context, prober Prober, now time.Time) {
 	remote := e.remoteZones(now)
 	cut, doubt := e.reach.judge(remote, now)
+	for _, zone := range e.reach.fresh {
+		e.reportZone(zone, now)
+	}
 	if doubt {
 		e.tryZones(ctx, prober, remote, now)
 	}
@@ -272,25 +244,6 @@
 	e.isolation.since = since
 }
 
-// remoteZones looks at the contact to each other zone. Replicas that have answered every request cost nothing here.
-func (e *Engine) remoteZones(now time.Time) map[fleet.ZoneID]remoteZone {
-	zones := make(map[fleet.ZoneID]remoteZone)
-	for _, m := range e.plan.Load().remote {
-		zone, known := zones[m.Zone]
-		if !known {
-			zone.heard = m.load.contact.lastHeard()
-		}
-		unanswered := m.load.uncertain.Load() && m.load.overdue(now)
-		if unanswered {
-			zone.unanswered++
-		}
-		if unanswered || !known {
-			zones[m.Zone] = zone
-		}
-	}
-	return zones
-}
-
 // reachesFloors tells whether every route with shards can reach its floor now.
 func (e *Engine) reachesFloors(now time.Time) bool {
 	current := e.plan.Load()
--- a/internal/lookup/reach_test.go
+++ b/internal/lookup/reach_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/sighting"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
@@ -178,3 +179,91 @@
 		})
 	}
 }
+
+// TestZoneHearsOfACut replays a zone of 24 instances with half a request a second each, which is cut off. It guards against
+// instances that find out with their next request only, and call themselves ready until then. News take 300 ms, as between the
+// board and the others.
+func TestZoneHearsOfACut(t *testing.T) {
+	const instances, lag = 24, 300 * time.Millisecond
+	for name, telling := range map[string]bool{"told": true, "each alone": false} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				is := is.New(t)
+				cut := time.Now().Add(10 * time.Second)
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				var stages []*stage
+				for range instances {
+					s := needsBoth(t, func(id fleet.ServerID, now time.Time) behaviour {
+						return behaviour{silent: now.After(cut) && strings.HasSuffix(string(id), "-b"), delay: work, outcome: good(work).outcome}
+					})
+					s.engine.seen = func(seen sighting.Sighting) {
+						if telling && seen.Zone != "" {
+							time.AfterFunc(lag, func() {
+								for _, other := range stages {
+									other.engine.Told([]sighting.Sighting{seen})
+								}
+							})
+						}
+					}
+					stages = append(stages, s)
+				}
+				for _, s := range stages {
+					go s.engine.WatchReach(ctx, s)
+				}
+				for n := 0; time.Since(cut) < balancerAsks; n++ {
+					s := stages[n%instances]
+					go func() { s.run(s.fan) }()
+					time.Sleep(2 * time.Second / instances)
+					is.True(time.Now().After(cut) || !s.engine.MayBeIsolated(time.Now()))
+				}
+				unready := 0
+				for _, s := range stages {
+					if s.engine.MayBeIsolated(time.Now()) {
+						unready++
+					}
+				}
+				if telling {
+					is.Equal(unready, instances)
+				} else {
+					is.True(unready < instances)
+				}
+			})
+		})
+	}
+}
+
+// TestDoubtOfAnother guards against a doubt that outlives an answer, or goes on for ever.
+func TestDoubtOfAnother(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := &contact{}
+	is.True(!c.inDoubt(now))
+	is.True(c.doubt(now))
+	is.True(!c.doubt(now.Add(toldFor / 2))) // not new
+	is.True(c.inDoubt(now.Add(toldFor)))
+	is.True(!c.inDoubt(now.Add(2 * toldFor)))
+	c.hear(now.Add(toldFor * 3 / 4))
+	is.True(!c.inDoubt(now.Add(toldFor)))
+}
+
+// TestToldOfAZone guards against instances that others can take out of rotation by their word: only what is tried in vain counts.
+func TestToldOfAZone(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		s := needsBoth(t, func(id fleet.ServerID, _ time.Time) behaviour {
+			how := good(work)
+			how.silent = id == "s0-b" || id == "s1-b" || id == "s2-b" // down by themselves
+			return how
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go s.engine.WatchReach(ctx, s)
+		s.run(s.fan)
+		for range 500 {
+			s.engine.Told([]sighting.Sighting{{Zone: "b", At: time.Now()}, {Zone: "a", At: time.Now()}, {Zone: "none", At: time.Now()}})
+			time.Sleep(20 * time.Millisecond)
+			is.True(!s.engine.MayBeIsolated(time.Now()))
+		}
+	})
+}
--- a/internal/lookup/sightings.go
+++ b/internal/lookup/sightings.go
@@ -25,6 +25,13 @@
 	rejected bool
 }
 
+// reportZone tells the other instances of a zone in doubt.
+func (e *Engine) reportZone(zone fleet.ZoneID, now time.Time) {
+	if e.seen != nil {
+		e.seen(sighting.Sighting{Zone: zone, At: now})
+	}
+}
+
 // report tells the other instances of a send that went badly.
 func (e *Engine) report(to *member, seen observation, now time.Time) {
 	if e.seen == nil || !seen.rejected && seen.ratio < sharedRatio {
@@ -46,7 +53,9 @@
 	defer e.updating.Unlock()
 	var slow []fleet.ServerID
 	for _, s := range sightings {
-		if known := e.loads[s.Replica]; known.load != nil && known.replica.Born == s.Born && known.load.told(s) {
+		if s.Zone != "" {
+			e.toldOfZone(s)
+		} else if known := e.loads[s.Replica]; known.load != nil && known.replica.Born == s.Born && known.load.told(s) {
 			slow = append(slow, s.Replica)
 		}
 	}
@@ -55,6 +64,14 @@
 	}
 }
 
+// toldOfZone makes WatchReach find out whether a zone is cut off that another instance of the own zone is in doubt about. It answers
+// many instances, of which each gets a request now and then and would notice a cut with its next one only.
+func (e *Engine) toldOfZone(s sighting.Sighting) {
+	if told := e.contacts[s.Zone]; told != nil && told.doubt(s.At) {
+		klog.InfoS("Zone in doubt by another instance", "zone", s.Zone, "from", s.From)
+	}
+}
+
 // told records what another instance saw. It tells whether the replica counts as slow from now on.
 func (l *load) told(s sighting.Sighting) bool {
 	l.mutex.Lock()
--- a/internal/sighting/message.go
+++ b/internal/sighting/message.go
@@ -14,8 +14,9 @@
 
 // sightingMessage is a Sighting with an age in place of a time, because instances share no clock.
 type sightingMessage struct {
-	Replica   fleet.ServerID   `json:"replica"`
-	Born      int64            `json:"born"`
+	Zone      fleet.ZoneID     `json:"zone,omitempty"`
+	Replica   fleet.ServerID   `json:"replica,omitempty"`
+	Born      int64            `json:"born,omitempty"`
 	Slowness  float64          `json:"slowness,omitempty"`
 	AgeMillis int64            `json:"age-millis"`
 	From      fleet.InstanceID `json:"from,omitempty"`
@@ -39,7 +40,7 @@
 func encode(sightings []Sighting, now time.Time) []sightingMessage {
 	messages := make([]sightingMessage, len(sightings))
 	for i, s := range sightings {
-		messages[i] = sightingMessage{s.Replica, s.Born, s.Slowness, max(0, now.Sub(s.At).Milliseconds()), s.From}
+		messages[i] = sightingMessage{s.Zone, s.Replica, s.Born, s.Slowness, max(0, now.Sub(s.At).Milliseconds()), s.From}
 	}
 	return messages
 }
@@ -51,7 +52,7 @@
 		if m.AgeMillis < 0 || m.AgeMillis >= memory.Milliseconds() || m.Slowness < 0 {
 			continue
 		}
-		sightings = append(sightings, Sighting{m.Replica, m.Born, m.Slowness, now.Add(-time.Duration(m.AgeMillis) * time.Millisecond), m.From})
+		sightings = append(sightings, Sighting{m.Zone, m.Replica, m.Born, m.Slowness, now.Add(-time.Duration(m.AgeMillis) * time.Millisecond), m.From})
 	}
 	return sightings
 }
--- a/internal/sighting/sighting.go
+++ b/internal/sighting/sighting.go
@@ -12,8 +12,10 @@
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 )
 
-// Sighting is one send that went badly.
+// Sighting is one send that went badly, or a zone that may be cut off.
 type Sighting struct {
+	// Zone is set where nothing in another zone has answered what was sent there; the sighting is of no replica then.
+	Zone    fleet.ZoneID
 	Replica fleet.ServerID
 	// Born distinguishes the starts of a replica that keeps its id.
 	Born int64
@@ -39,8 +41,8 @@
 	confirmWithin = time.Second
 )
 
-// Board collects sightings in the order of their arrival and passes on those that another one confirms. It does no I/O and is
-// not safe for concurrent use.
+// Board collects sightings in the order of their arrival and passes on those that another one confirms; those of zones at once,
+// because whoever is told finds out by itself. It does no I/O and is not safe for concurrent use.
 type Board struct {
 	kept []posted
 	// last is when the last send to a replica ended that went badly.
@@ -59,7 +61,7 @@
 func (b *Board) Post(from fleet.InstanceID, sightings []Sighting, now time.Time) bool {
 	former := b.next
 	for _, s := range sightings {
-		if now.Sub(s.At) < memory && b.confirmed(s) {
+		if now.Sub(s.At) < memory && (s.Zone != "" || b.confirmed(s)) {
 			s.From = from
 			b.kept = append(b.kept, posted{b.next, s})
 			b.next++
--- a/internal/sighting/sighting_test.go
+++ b/internal/sighting/sighting_test.go
@@ -50,6 +50,17 @@
 	}
 }
 
+// TestBoardPassesZonesOn guards against a doubt about a zone that waits for another one: each instance has it for a short time.
+func TestBoardPassesZonesOn(t *testing.T) {
+	is := is.New(t)
+	var board Board
+	now := time.Now()
+	doubt := Sighting{Zone: "z", At: now}
+	is.True(board.Post("i", []Sighting{doubt}, now))
+	news, _ := board.Since(0, "j", now)
+	is.Equal(decode(encode(news, now), now), []Sighting{{Zone: "z", At: now, From: "i"}})
+}
+
 // TestBoardIsBounded guards against a zone in trouble, or one instance that reports without end, that fills the memory.
 func TestBoardIsBounded(t *testing.T) {
 	is := is.New(t)
