Forget the contact to zones without replicas; one switch for requests whose replicas pause

Cause: read on the diff: the contacts grew with the names of zones, and the decision before a fan-out had three nested branches.

Change: contacts go with the last replica of their zone (TestStatesDoNotGrow fails without it); no other behaviour changes.

--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -115,7 +115,7 @@
 }
 
 // reachable refuses a request that most likely cannot reach its floor before anything is sent. It answers a zone that is
-// cut off, or shards whose replicas are all down: waiting would only keep the caller from another instance.
+// cut off, or shards whose replicas are all down or want no requests: waiting would only keep the caller from another instance.
 func (f *fanout) reachable(now time.Time) *verdict.Error {
 	current := f.engine.plan.Load()
 	for _, service := range f.request.Route.Shards {
@@ -127,16 +127,15 @@
 	if likely >= f.floor {
 		return nil
 	}
-	again, worthTrying := downRetryAfter, true
-	if from, ok := current.floorTakesRequests(f.request.Route, f.floor, now); !ok {
-		worthTrying = false
-	} else if from.After(now) {
-		if f.inTime(from) {
-			return nil
-		}
-		again, worthTrying = max(retryAfter, from.Sub(now)), false
-	}
-	if worthTrying && !f.engine.Isolated() && f.engine.mayTry(now) {
+	from, ok := current.floorTakesRequests(f.request.Route, f.floor, now)
+	paused := ok && from.After(now)
+	again := downRetryAfter
+	switch {
+	case paused && f.inTime(from):
+		return nil
+	case paused:
+		again = max(retryAfter, from.Sub(now))
+	case ok && !f.engine.Isolated() && f.engine.mayTry(now):
 		f.trial = true
 		return nil
 	}
--- a/internal/lookup/load.go
+++ b/internal/lookup/load.go
@@ -63,9 +63,9 @@
 	// ended a suspicion, until the replica answers a request.
 	probing bool
 	vouched bool
-	// surprising is when the running probe began, if the replica was not known to be silent; zero otherwise. That it fails is
+	// soundProbe is when the running probe began, if the replica was not known to be silent; zero otherwise. That it fails is
 	// evidence of a cut.
-	surprising time.Time
+	soundProbe time.Time
 	reached    time.Time
 	// misdirected is set when another process answers at the address.
 	misdirected bool
@@ -366,9 +366,9 @@
 	}
 	silent := l.silent > 0 || now.Before(l.suspect)
 	l.probing = sound || !l.vouched && silent
-	l.surprising = time.Time{}
+	l.soundProbe = time.Time{}
 	if !silent {
-		l.surprising = now
+		l.soundProbe = now
 	}
 	return l.probing
 }
@@ -380,8 +380,8 @@
 	defer l.mutex.Unlock()
 	l.probing = false
 	if !reached {
-		if !l.surprising.IsZero() {
-			l.miss(waiting{sent: l.surprising})
+		if !l.soundProbe.IsZero() {
+			l.miss(waiting{sent: l.soundProbe})
 			l.uncertain.Store(true)
 		}
 		// No request has to find out that it is still silent.
--- a/internal/lookup/plan.go
+++ b/internal/lookup/plan.go
@@ -1,6 +1,7 @@
 package lookup
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -72,6 +73,7 @@
 		}
 	}
 	e.loads = loads
+	e.dropContacts()
 	e.plan.Store(next)
 	e.dropUnused(next)
 	e.gates.Range(func(shard, known any) bool {
@@ -144,6 +146,15 @@
 	return found
 }
 
+// dropContacts forgets zones without replicas.
+func (e *Engine) dropContacts() {
+	used := make(map[fleet.ZoneID]bool, len(e.contacts))
+	for _, state := range e.loads {
+		used[state.replica.Zone] = true
+	}
+	maps.DeleteFunc(e.contacts, func(zone fleet.ZoneID, _ *contact) bool { return !used[zone] })
+}
+
 func (e *Engine) budgetOf(id fleet.ServiceID) *budget {
 	known, ok := e.budgets[id]
 	if !ok {
--- a/internal/lookup/plan_test.go
+++ b/internal/lookup/plan_test.go
@@ -26,7 +26,7 @@
 			route := &routing.Route{Name: name, Timeout: timeout, Objective: objective, Attempts: 1, Shards: []fleet.ServiceID{service}, Floor: 1}
 			s.engine.Update(&directory.View{
 				Table:    routing.New(version+2, []*routing.Route{route}, []routing.Service{{ID: service}}, routing.Limits{}, nil),
-				Replicas: map[fleet.ServiceID][]directory.Replica{service: {{ID: fleet.ServerID(name), Service: service, Zone: "a", Slots: 1}}},
+				Replicas: map[fleet.ServiceID][]directory.Replica{service: {{ID: fleet.ServerID(name), Service: service, Zone: fleet.ZoneID(name), Slots: 1}}},
 			})
 			is.True(s.run(route).Failure == nil)
 		}
@@ -36,6 +36,7 @@
 		is.Equal(count, 2)
 		is.Equal(len(s.engine.budgets), 1)
 		is.Equal(len(s.engine.loads), 1)
+		is.Equal(len(s.engine.contacts), 1)
 		is.Equal(forgotten, 2*shards+99)
 	})
 }
