--- a/internal/lookup/load.go
+++ b/internal/lookup/load.go
@@ -70,7 +70,7 @@
 	// misdirected is set when another process answers at the address.
 	misdirected bool
 	coldSends   []time.Time
-	said        notice
+	notice      notice
 	// uncertain is set while the replica may be silent. It is read without the lock.
 	uncertain atomic.Bool
 }
@@ -99,7 +99,7 @@
 		}
 	}
 	elapsed := now.Sub(ended.sent)
-	l.heed(now, outcome)
+	l.recordNotice(now, outcome)
 	switch {
 	case outcome.answered():
 		l.contact.hear(now)
@@ -272,7 +272,7 @@
 func (l *load) usable(now time.Time, connections int) (may, likely bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return !l.misdirected && l.said.takes(now) && len(l.waiting) < connections, !now.Before(l.suspect) && !l.stalled(now)
+	return !l.misdirected && l.notice.takes(now) && len(l.waiting) < connections, !now.Before(l.suspect) && !l.stalled(now)
 }
 
 // admitCold tells whether a cold replica may get one more request from this instance, which may send it limit of them a second,
@@ -298,7 +298,7 @@
 func (l *load) mayAnswer(now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.said.takes(now) && !l.unheard(now)
+	return l.notice.takes(now) && !l.unheard(now)
 }
 
 // silentNow tells whether the replica has lately not answered at all. After a suspicion has ended, the first request
@@ -333,8 +333,8 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	heard := l.contact.lastHeard()
-	overdue := func(w *waiting) bool { return w.sent.After(heard) && now.Sub(w.sent) > stallAfter(w.expected) }
-	return overdue(&l.missed) || slices.ContainsFunc(l.waiting, func(w waiting) bool { return overdue(&w) })
+	late := func(w *waiting) bool { return w.sent.After(heard) && now.Sub(w.sent) > stallAfter(w.expected) }
+	return late(&l.missed) || slices.ContainsFunc(l.waiting, func(w waiting) bool { return late(&w) })
 }
 
 func (l *load) sound(now time.Time) bool {
@@ -361,7 +361,7 @@
 func (l *load) startProbe(now time.Time, sound bool) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.probing || l.misdirected || l.said.leaving {
+	if l.probing || l.misdirected || l.notice.leaving {
 		return false
 	}
 	silent := l.silent > 0 || now.Before(l.suspect)
--- a/internal/lookup/notice.go
+++ b/internal/lookup/notice.go
@@ -25,27 +25,27 @@
 // takes tells whether the replica wants requests.
 func (n notice) takes(now time.Time) bool { return !n.leaving && !now.Before(n.pausedUntil) }
 
-// heed records what an answer says. A shorter pause does not end a longer one that was asked for before.
-func (l *load) heed(now time.Time, outcome *Outcome) {
-	if outcome.Leaving && !l.said.leaving {
+// recordNotice records what an answer says. A shorter pause does not end a longer one that was asked for before.
+func (l *load) recordNotice(now time.Time, outcome *Outcome) {
+	if outcome.Leaving && !l.notice.leaving {
 		klog.InfoS("Replica leaves by its own word", "replica", l.id)
-		l.said.leaving = true
+		l.notice.leaving = true
 	}
 	if outcome.RetryAfter <= 0 {
 		return
 	}
 	until := now.Add(min(outcome.RetryAfter, longestNotice))
-	if until.After(l.said.pausedUntil) {
+	if until.After(l.notice.pausedUntil) {
 		klog.InfoS("Replica asked for a pause", "replica", l.id, "for", outcome.RetryAfter, "reason", outcome.Reason)
-		l.said.pausedUntil = until
+		l.notice.pausedUntil = until
 	}
 }
 
-// notice returns what the replica has said of itself.
-func (l *load) notice() notice {
+// currentNotice returns what the replica has said of itself.
+func (l *load) currentNotice() notice {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.said
+	return l.notice
 }
 
 // takesRequests returns when a replica of the group that the route allows takes requests, by their own word: now, or the end of
@@ -58,7 +58,7 @@
 		if !route.Allows(g.members[i].Region) {
 			continue
 		}
-		said := g.members[i].load.notice()
+		said := g.members[i].load.currentNotice()
 		if said.leaving {
 			continue
 		}
--- a/internal/lookup/notice_test.go
+++ b/internal/lookup/notice_test.go
@@ -114,10 +114,10 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	l := &load{}
-	l.heed(now, &Outcome{RetryAfter: 3 * time.Second})
-	l.heed(now.Add(time.Second), &Outcome{RetryAfter: time.Second})
-	is.True(!l.notice().takes(now.Add(2500 * time.Millisecond)))
-	is.True(l.notice().takes(now.Add(3 * time.Second)))
+	l.recordNotice(now, &Outcome{RetryAfter: 3 * time.Second})
+	l.recordNotice(now.Add(time.Second), &Outcome{RetryAfter: time.Second})
+	is.True(!l.currentNotice().takes(now.Add(2500 * time.Millisecond)))
+	is.True(l.currentNotice().takes(now.Add(3 * time.Second)))
 }
 
 // TestEveryReplicaPauses replays an overload in which all replicas of some shards ask for a pause of 2 s and 3 s. It guards
--- a/internal/lookup/plan.go
+++ b/internal/lookup/plan.go
@@ -68,7 +68,7 @@
 			state.absent = now
 			e.forget(id)
 		}
-		if !state.load.notice().takes(now) && now.Sub(state.absent) < longestNotice {
+		if !state.load.currentNotice().takes(now) && now.Sub(state.absent) < longestNotice {
 			loads[id] = state
 		}
 	}
--- a/internal/lookup/reach_test.go
+++ b/internal/lookup/reach_test.go
@@ -42,10 +42,10 @@
 		every, within time.Duration
 		reset         bool
 	}{
-		"28 requests a second":          {35 * time.Millisecond, 150 * time.Millisecond, false},
-		"5 requests a second":           {200 * time.Millisecond, 300 * time.Millisecond, false},
-		"connections that are refused":  {35 * time.Millisecond, 150 * time.Millisecond, true},
-		"refused, 5 requests a second ": {200 * time.Millisecond, 300 * time.Millisecond, true},
+		"28 requests a second":         {35 * time.Millisecond, 150 * time.Millisecond, false},
+		"5 requests a second":          {200 * time.Millisecond, 300 * time.Millisecond, false},
+		"connections that are refused": {35 * time.Millisecond, 150 * time.Millisecond, true},
+		"refused, 5 requests a second": {200 * time.Millisecond, 300 * time.Millisecond, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T) {
@@ -146,10 +146,10 @@
 			}
 			return good(work)
 		}},
-		"all slow":                {35 * time.Millisecond, func(fleet.ServerID, time.Time) behaviour { return good(5 * work) }},
-		"all slow, few requests":  {time.Second, func(fleet.ServerID, time.Time) behaviour { return good(5 * work) }},
-		"no requests":             {20 * time.Second, steady},
-		"one request, then a cut": {20 * time.Second, func(id fleet.ServerID, _ time.Time) behaviour { return behaviour{hangs: inB(id)} }},
+		"all slow":                   {35 * time.Millisecond, func(fleet.ServerID, time.Time) behaviour { return good(5 * work) }},
+		"all slow, few requests":     {time.Second, func(fleet.ServerID, time.Time) behaviour { return good(5 * work) }},
+		"no requests":                {20 * time.Second, steady},
+		"one request, and no answer": {20 * time.Second, func(id fleet.ServerID, _ time.Time) behaviour { return behaviour{hangs: inB(id)} }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T) {
--- a/internal/lookup/state.go
+++ b/internal/lookup/state.go
@@ -48,9 +48,9 @@
 	switch {
 	case l.misdirected:
 		return Misdirected
-	case l.said.leaving:
+	case l.notice.leaving:
 		return Leaving
-	case now.Before(l.said.pausedUntil):
+	case now.Before(l.notice.pausedUntil):
 		return Paused
 	case now.Before(l.suspect) || l.silent > 0:
 		return Silent
