lookup, platform: log and count what replicas that name a request limit get

Callers saw nothing; replicas got more requests than they had named. The adapter now decodes the header, the log has a line when a replica first names a limit, changes it or ends it, with the sends by kind meanwhile, and medlarlatch_sends_limited_total counts them. Which replica gets a request is decided as before.

--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -57,9 +57,10 @@
 }
 
 // Counters holds totals since the start of the engine. ExtraDenied counts the extra sends that the allowance did not
-// permit.
+// permit, LimitedSends the sends to replicas that name a request limit.
 type Counters struct {
 	Requests, Sends, Hedges, Retries, ExtraDenied atomic.Int64
+	LimitedSends                                  [sendKinds]atomic.Int64
 }
 
 // Engine runs requests. It is safe for concurrent use.
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -85,6 +85,9 @@
 	Leaving bool
 	// RetryAfter is for how long the replica asked this instance to send it no requests; 0 if it did not ask.
 	RetryAfter time.Duration
+	// RequestLimit is how many requests a second the replica says it takes from all instances together; nil if the
+	// answer names no limit.
+	RequestLimit *float64
 }
 
 // answered reports whether the replica itself answered, even with an error, so that it is not silent.
--- a/internal/lookup/replica_health.go
+++ b/internal/lookup/replica_health.go
@@ -75,6 +75,7 @@
 	misdirected     bool
 	recentColdSends []time.Time
 	selfReport      selfReport
+	requestLimit    requestLimit
 	// maybeSilent is set while the replica may be silent. It is read without the lock, so that healthy replicas can be
 	// skipped cheaply.
 	maybeSilent atomic.Bool
@@ -105,6 +106,7 @@
 	}
 	elapsed := now.Sub(ended.sent)
 	h.recordSelfReport(now, outcome)
+	h.requestLimit.record(h.id, now, outcome)
 	switch {
 	case outcome.answered():
 		h.zone.recordAnswer(now)
--- a/internal/lookup/send.go
+++ b/internal/lookup/send.go
@@ -34,6 +34,9 @@
 func (e *Engine) startSend(ctx context.Context, request *Request, g *replicaGroup, send *replicaSend, shard int, stats *routeStats, results chan<- sendResult) {
 	send.sendNumber = send.to.health.beginSend(send.sent, send.expected)
 	e.counters.Sends.Add(1)
+	if send.to.health.countLimitedSend(send.kind()) {
+		e.counters.LimitedSends[send.kind()].Add(1)
+	}
 	maxConnections := e.maxConnections(g)
 	go func() {
 		outcome := e.send(ctx, request, send.to, stats, maxConnections)
--- a/internal/lookup/state.go
+++ b/internal/lookup/state.go
@@ -32,6 +32,8 @@
 	Leaving // leaving
 	// Paused replicas have requested, by Retry-After, a pause that has not ended.
 	Paused // paused
+	// Limited replicas name a request limit in their answers and have none of the other troubles.
+	Limited // limited
 )
 
 const (
@@ -64,6 +66,8 @@
 		return Slow
 	case cold:
 		return Cold
+	case h.requestLimit.named:
+		return Limited
 	}
 	return Healthy
 }
--- a/internal/lookup/state_string.go
+++ b/internal/lookup/state_string.go
@@ -17,11 +17,12 @@
 	_ = x[Misdirected-6]
 	_ = x[Leaving-7]
 	_ = x[Paused-8]
+	_ = x[Limited-9]
 }
 
-const _State_name = "soundcoldslowstalledfailingsilentmisdirectedleavingpaused"
+const _State_name = "soundcoldslowstalledfailingsilentmisdirectedleavingpausedlimited"
 
-var _State_index = [...]uint8{0, 5, 9, 13, 20, 27, 33, 44, 51, 57}
+var _State_index = [...]uint8{0, 5, 9, 13, 20, 27, 33, 44, 51, 57, 64}
 
 func (i State) String() string {
 	idx := int(i) - 0
