--- /dev/null
+++ b/internal/lookup/request_limit_test.go
@@ -0,0 +1,180 @@
+package lookup
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/medlarlatch/medlarlatch/internal/directory"
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+const (
+	// limitWindow, limitFactor and limitTolerance are the bound that a replica that names a request limit relies on: in
+	// any window, the instances that have learnt of the limit longer than limitNotice ago send it no more than
+	// limitFactor times what the limit allows, plus limitTolerance.
+	limitWindow    = 4 * time.Second
+	limitFactor    = 1.5
+	limitTolerance = 5
+	limitNotice    = 500 * time.Millisecond
+)
+
+// limitedFleet is a number of instances before the same replicas, some of which name a request limit.
+type limitedFleet struct {
+	engines []*testEngine
+	random  *rand.Rand
+	limit   float64
+
+	mutex sync.Mutex
+	// limited are the replicas that name the limit.
+	limited map[fleet.ServerID]bool
+	sent    map[fleet.ServerID][]time.Time
+	// counted are the sends of instances that had learnt of the limit limitNotice ago.
+	counted map[fleet.ServerID][]time.Time
+}
+
+// limitedSender is the Sender of one instance of a limitedFleet.
+type limitedSender struct {
+	fleet *limitedFleet
+	// learnt maps each replica to the time of the answer in which it first named its limit to this instance.
+	learnt map[fleet.ServerID]time.Time
+}
+
+func newLimitedFleet(t *testing.T, instances int, limit float64, limited ...fleet.ServerID) *limitedFleet {
+	f := &limitedFleet{
+		random: rand.New(rand.NewPCG(7, 8)), limit: limit,
+		limited: make(map[fleet.ServerID]bool), sent: make(map[fleet.ServerID][]time.Time), counted: make(map[fleet.ServerID][]time.Time),
+	}
+	f.setLimited(limited...)
+	for i, name := range instanceNames(instances) {
+		s := newTestEngine(t, nil)
+		s.engine.zone = []fleet.ZoneID{"a", "b", "c"}[i%3]
+		s.engine.sender = &limitedSender{fleet: f, learnt: make(map[fleet.ServerID]time.Time)}
+		s.engine.SetInstances(name, instanceNames(instances))
+		s.update(nil)
+		f.engines = append(f.engines, s)
+	}
+	return f
+}
+
+// setLimited replaces the set of replicas that name the limit.
+func (f *limitedFleet) setLimited(limited ...fleet.ServerID) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	clear(f.limited)
+	for _, id := range limited {
+		f.limited[id] = true
+	}
+}
+
+// Send answers after a time that varies, with the limit if the replica names one then.
+func (s *limitedSender) Send(ctx context.Context, _ *Request, to directory.Replica, _ SendLimits) Outcome {
+	f := s.fleet
+	f.mutex.Lock()
+	now := time.Now()
+	f.sent[to.ID] = append(f.sent[to.ID], now)
+	if learnt, ok := s.learnt[to.ID]; ok && now.Sub(learnt) >= limitNotice {
+		f.counted[to.ID] = append(f.counted[to.ID], now)
+	}
+	delay := time.Duration((0.6 + 0.8*f.random.Float64()) * float64(work))
+	f.mutex.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.Cancelled}
+	}
+	outcome := good(0).outcome
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if !f.limited[to.ID] {
+		delete(s.learnt, to.ID)
+		return outcome
+	}
+	outcome.RequestLimit = &f.limit
+	if _, ok := s.learnt[to.ID]; !ok {
+		s.learnt[to.ID] = time.Now()
+	}
+	return outcome
+}
+
+// runLoad runs fan-outs at random times and instances for the given time and returns their results.
+func (f *limitedFleet) runLoad(perSecond float64, duration time.Duration) (results []timedResult) {
+	var mutex sync.Mutex
+	var running sync.WaitGroup
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(time.Duration(f.random.ExpFloat64() / perSecond * float64(time.Second))) {
+		s := f.engines[f.random.IntN(len(f.engines))]
+		running.Go(func() {
+			began := time.Now()
+			result := s.engine.Run(context.Background(), &Request{Route: s.fanoutRoute, ArrivedAt: began, Deadline: began.Add(timeout)})
+			mutex.Lock()
+			defer mutex.Unlock()
+			results = append(results, timedResult{result, time.Since(began)})
+		})
+	}
+	running.Wait()
+	return results
+}
+
+// mostInWindow returns the most of the times in any limitWindow. The times are in order.
+func mostInWindow(times []time.Time) (most int) {
+	first := 0
+	for i, at := range times {
+		for at.Sub(times[first]) > limitWindow {
+			first++
+		}
+		most = max(most, i+1-first)
+	}
+	return most
+}
+
+// TestRequestLimitIsKept replays replicas that take fewer requests a second than their usual part, and say so in their
+// answers. It guards against instances that together send them more, at any number of instances and also when many
+// callers come after a pause.
+func TestRequestLimitIsKept(t *testing.T) {
+	const usual, limit = 60.0, 12.0 // fan-outs a second; each replica has half of them
+	oneReplica, oneShard := []fleet.ServerID{"s0-a"}, []fleet.ServerID{"s0-a", "s0-b"}
+	for name, test := range map[string]struct {
+		limited []fleet.ServerID
+		limit   float64
+		load    func(f *limitedFleet)
+	}{
+		"steady":                   {oneReplica, limit, func(f *limitedFleet) { f.runLoad(usual, 30*time.Second) }},
+		"both replicas of a shard": {oneShard, limit, func(f *limitedFleet) { f.runLoad(usual, 30*time.Second) }},
+		"few":                      {oneReplica, 0.7, func(f *limitedFleet) { f.runLoad(usual, 30*time.Second) }},
+		"none":                     {oneReplica, 0, func(f *limitedFleet) { f.runLoad(usual, 30*time.Second) }},
+		"crowd": {oneReplica, limit, func(f *limitedFleet) {
+			f.runLoad(usual, 20*time.Second)
+			f.runLoad(3*usual, 10*time.Second)
+		}},
+		"crowd after a pause": {oneReplica, limit, func(f *limitedFleet) {
+			f.runLoad(usual, 20*time.Second)
+			time.Sleep(20 * time.Second)
+			f.runLoad(3*usual, 10*time.Second)
+		}},
+		"limit above the load": {oneReplica, usual, func(f *limitedFleet) {
+			f.runLoad(usual, 20*time.Second)
+			f.runLoad(6*usual, 10*time.Second)
+		}},
+	} {
+		for _, instances := range []int{1, 4, 33, 118} {
+			t.Run(fmt.Sprintf("%s, %d instances", name, instances), func(t *testing.T) {
+				runInBubble(t, func(t *testing.T) {
+					f := newLimitedFleet(t, instances, test.limit, test.limited...)
+					test.load(f)
+					allowed := limitFactor*test.limit*limitWindow.Seconds() + limitTolerance
+					for _, id := range test.limited {
+						most := mostInWindow(f.counted[id])
+						t.Logf("replica %s: %d requests in %v, %.0f allowed; %d in all", id, most, limitWindow, allowed, len(f.sent[id]))
+						is.New(t).True(float64(most) <= allowed)
+					}
+				})
+			})
+		}
+	}
+}
