lookup: divide the request limit of a replica among the instances

Cause: the limit was not read. The class of fault is a bound over all instances together of which each instance sees only its own part; such bounds exist for cold replicas, connections and extra sends, but not for what a replica names by itself.

Change: each instance has a token bucket for each replica that names a limit, with its part of the limit. If there are more instances than the bound leaves room for full buckets, as many of them as fit are users of the limit, and the others try now and then whether it has ended. The users are consecutive in one order of the instances, so that an instance that may use one limited shard may use the others of the index too. A fan-out that limits keep from its floor waits for tokens for as long as it may queue, or is refused at once with the time at which there are some; it sends nothing before, since each part would use up tokens that another request needs.

Why it works: the sum of all rates is 0.9 of the limit, and all buckets together hold at most 1.9 times the limit + 3 tokens, so that no 4 s have more than 1.5 times the limit + 5, whatever the callers do.

Evidence: TestRequestLimitIsKept failed on the code before in all 28 cases (146 to 187 requests in 4 s, 77 allowed) and passes now (25 to 48).

--- a/internal/lookup/fake_test.go
+++ b/internal/lookup/fake_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -143,6 +144,13 @@
 	return s
 }
 
+// newTestHealth returns the health of a replica that nothing was sent to, at the only instance.
+func newTestHealth() *replicaHealth {
+	instances := new(atomic.Pointer[instanceSet])
+	instances.Store(newInstanceSet("i0", instanceNames(1)))
+	return &replicaHealth{id: "s0-a", instances: instances}
+}
+
 // instanceNames returns the names of count instances.
 func instanceNames(count int) []fleet.InstanceID {
 	all := make([]fleet.InstanceID, count)
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -77,19 +77,19 @@
 }
 
 func (f *fanout) run() Result {
-	now := time.Now()
-	if refusal := f.checkReachable(now); refusal != nil {
+	f.countRequest(time.Now())
+	if refusal := f.waitUntilReachable(); refusal != nil {
 		return f.refuse(refusal)
 	}
 	if !f.limiter.throttle.admit() {
 		return f.refuse(overloadedError())
 	}
 	work := float64(f.stats.unqueued.time())
-	if !f.limiter.acquire(f.ctx, work, time.Duration(maxQueueShare*float64(f.request.Route.Objective))) {
+	if !f.limiter.acquire(f.ctx, work, f.maxQueueWait()) {
 		return f.refuse(overloadedError())
 	}
 	defer f.limiter.release(work)
-	now = time.Now()
+	now := time.Now()
 	f.started = now
 	for i := range f.parts {
 		f.startPart(i, now)
@@ -110,41 +110,88 @@
 		case <-timer.C:
 			ticked = true
 		case <-f.ctx.Done():
-			return f.refuse(verdict.New(f.verdict(), verdict.Cancelled, "the caller cancelled the request"))
+			return f.refuse(f.cancelledError())
 		}
 		f.checkParts(time.Now())
 	}
 }
 
-// checkReachable refuses a request that most likely cannot reach its floor before any part is sent. This is the case
-// when this instance is isolated from the other zones, or when all replicas of some shards are down or have asked for a
-// pause: waiting would only delay the caller's retry at another instance. It also counts the request in the budgets of
-// its shards.
-func (f *fanout) checkReachable(now time.Time) *verdict.Error {
-	view := f.engine.view.Load()
+// countRequest counts the request in the budgets of its shards.
+func (f *fanout) countRequest(now time.Time) {
+	view, allowed := f.engine.view.Load(), f.engine.allowance(now)
 	for _, service := range f.request.Route.Shards {
 		if g := view.groups[service]; g != nil {
-			g.budget.countRequest(now, f.engine.allowance(now))
+			g.budget.countRequest(now, allowed)
+		}
+	}
+}
+
+// waitUntilReachable waits until the request can most likely reach its floor, and refuses it if it cannot or would have
+// to wait for too long.
+func (f *fanout) waitUntilReachable() *verdict.Error {
+	for {
+		now := time.Now()
+		startAt, refusal := f.checkReachable(now)
+		if refusal != nil || !startAt.After(now) {
+			return refusal
+		}
+		timer := time.NewTimer(startAt.Sub(now))
+		select {
+		case <-timer.C:
+		case <-f.ctx.Done():
+			timer.Stop()
+			return f.cancelledError()
 		}
 	}
-	answerable := f.engine.shardsExpectedToAnswer(view, f.request.Route, now)
-	if answerable >= f.required {
-		return nil
+}
+
+// checkReachable returns when to start the request, or refuses it before any part is sent if it most likely cannot
+// reach its floor. This is the case when this instance is isolated from the other zones, or when all replicas of some
+// shards are down, have asked for a pause or have used up their request limits: waiting would only delay the caller's
+// retry at another instance.
+func (f *fanout) checkReachable(now time.Time) (startAt time.Time, refusal *verdict.Error) {
+	view := f.engine.view.Load()
+	expected, permitted := f.engine.shardsExpectedToAnswer(view, f.request.Route, now)
+	if permitted >= f.required {
+		return now, nil
 	}
 	from, ok := view.floorAvailableAt(f.request.Route, f.required, now)
-	paused := ok && from.After(now)
+	postponed := ok && from.After(now)
+	if expected >= f.required && postponed {
+		return f.awaitRequestLimits(permitted, from, now)
+	}
 	retryAfter := unavailableRetryAfter
 	switch {
-	case paused && f.answersInTime(from):
-		return nil
-	case paused:
+	case postponed && f.answersInTime(from):
+		return now, nil
+	case postponed:
 		retryAfter = max(defaultRetryAfter, from.Sub(now))
 	case ok && !f.engine.Isolated() && f.engine.admitTrial(now):
 		f.trial = true
-		return nil
+		return now, nil
 	}
-	return verdict.New(verdict.NotRun, verdict.NoReplica, "%d of %d shards have a replica that is expected to answer, %d are required",
-		answerable, len(f.parts), f.required).WithRetryAfter(max(retryAfter, f.engine.callerRetryAfter(now)))
+	return now, verdict.New(verdict.NotRun, verdict.NoReplica, "%d of %d shards have a replica that is expected to answer, %d are required",
+		expected, len(f.parts), f.required).WithRetryAfter(max(retryAfter, f.engine.callerRetryAfter(now)))
+}
+
+// awaitRequestLimits returns when to start a request that the request limits of replicas keep from reaching its floor
+// now, or refuses it. No part is sent before, because each one would use up tokens that another request needs for its
+// floor.
+func (f *fanout) awaitRequestLimits(permitted int, from, now time.Time) (startAt time.Time, refusal *verdict.Error) {
+	if from.Sub(f.request.ArrivedAt) <= f.maxQueueWait() && f.answersInTime(from) {
+		return from, nil
+	}
+	return now, verdict.New(verdict.NotRun, verdict.Overloaded, "the request limits of replicas permit parts of %d of %d shards, %d are required",
+		permitted, len(f.parts), f.required).WithRetryAfter(max(defaultRetryAfter, from.Sub(now)))
+}
+
+// maxQueueWait returns how long the request may wait before its first part is sent.
+func (f *fanout) maxQueueWait() time.Duration {
+	return time.Duration(maxQueueShare * float64(f.request.Route.Objective))
+}
+
+func (f *fanout) cancelledError() *verdict.Error {
+	return verdict.New(f.verdict(), verdict.Cancelled, "the caller cancelled the request")
 }
 
 // answersInTime reports whether a part that is sent at the given time usually has its answer before the merged answer
@@ -182,7 +229,7 @@
 	case g == nil:
 		f.fail(p, verdict.NoReplica)
 		return
-	case chosen == nil && !f.engine.worthWaiting(g):
+	case chosen == nil && !f.engine.worthWaiting(g) && !g.postponed(f.request.Route, now):
 		f.fail(p, verdict.Overloaded)
 		return
 	case chosen == nil:
--- a/internal/lookup/fanout_result.go
+++ b/internal/lookup/fanout_result.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		g := view.groups[p.service]
-		if p.hasResponsiveReplica(now) || f.engine.hasReplicaExpectedToAnswer(f.request.Route, g, now) || f.awaitsPauseEnd(p, g, now) {
+		if expected, _ := g.expectedToAnswer(f.request.Route, now); expected || p.hasResponsiveReplica(now) || f.awaitsPauseEnd(p, g, now) {
 			count++
 		}
 	}
--- a/internal/lookup/instance_set.go
+++ b/internal/lookup/instance_set.go
@@ -13,11 +13,20 @@
 	ids  []fleet.InstanceID
 	// count is the number of instances; it is an estimate until they are known.
 	count int
+	// rank is the position of this instance in an order that all instances agree on.
+	rank int
+}
+
+// newInstanceSet returns the set of the given instances, which include self.
+func newInstanceSet(self fleet.InstanceID, all []fleet.InstanceID) *instanceSet {
+	ranked := slices.Clone(all)
+	fleet.SortByWeight("request-limits", ranked)
+	return &instanceSet{self: self, ids: all, count: max(len(all), 1), rank: max(slices.Index(ranked, self), 0)}
 }
 
 // SetInstances sets the ids of all entry instances, including this one, which is self.
 func (e *Engine) SetInstances(self fleet.InstanceID, all []fleet.InstanceID) {
-	e.instances.Store(&instanceSet{self: self, ids: all, count: max(len(all), 1)})
+	e.instances.Store(newInstanceSet(self, all))
 }
 
 // Instances returns the number of entry instances among which global bounds are divided.
--- a/internal/lookup/replica_health.go
+++ b/internal/lookup/replica_health.go
@@ -48,6 +48,8 @@
 // requests.
 type replicaHealth struct {
 	id fleet.ServerID
+	// instances are the entry instances that share the replica's request limit.
+	instances *atomic.Pointer[instanceSet]
 	// zone is the reachability of the replica's zone; nil if it is not tracked.
 	zone       *zoneReachability
 	mutex      sync.Mutex
@@ -82,9 +84,10 @@
 }
 
 // beginSend records a send and returns the number that identifies it for endSend.
-func (h *replicaHealth) beginSend(now time.Time, expected time.Duration) uint64 {
+func (h *replicaHealth) beginSend(now time.Time, expected time.Duration, kind SendKind) uint64 {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	h.requestLimit.take(h.instances.Load(), now, kind)
 	h.lastNumber++
 	h.pending = append(h.pending, pendingSend{h.lastNumber, now, expected})
 	h.maybeSilent.Store(true)
@@ -106,7 +109,7 @@
 	}
 	elapsed := now.Sub(ended.sent)
 	h.recordSelfReport(now, outcome)
-	h.requestLimit.record(h.id, now, outcome)
+	h.requestLimit.record(h.id, h.instances.Load(), now, outcome)
 	switch {
 	case outcome.answered():
 		h.zone.recordAnswer(now)
@@ -289,7 +292,8 @@
 func (h *replicaHealth) usable(now time.Time, maxConnections int) (accepts, responding bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return !h.misdirected && h.selfReport.acceptsRequests(now) && len(h.pending) < maxConnections, !now.Before(h.suspectUntil) && !h.stalledLocked(now)
+	accepts = !h.misdirected && len(h.pending) < maxConnections && h.acceptsNow(now)
+	return accepts, !now.Before(h.suspectUntil) && !h.stalledLocked(now)
 }
 
 // admitCold reports whether this instance may send a cold replica one more request, given that it may send limit of
@@ -311,12 +315,13 @@
 	return true
 }
 
-// expectedToAnswer reports whether the replica accepts requests and is not considered unresponsive. A replica that is
-// only stalled is expected to answer.
-func (h *replicaHealth) expectedToAnswer(now time.Time) bool {
+// expectedToAnswer reports whether the replica accepts requests and is not considered unresponsive, and whether its
+// request limit permits this instance to send one now. A replica that is only stalled is expected to answer.
+func (h *replicaHealth) expectedToAnswer(now time.Time) (expected, permitted bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.selfReport.acceptsRequests(now) && !h.unresponsiveLocked(now)
+	expected = h.selfReport.acceptsRequests(now) && !h.unresponsiveLocked(now)
+	return expected, expected && h.acceptsNow(now)
 }
 
 // isUnresponsive reports whether the replica has recently not answered at all. After a suspicion has ended, the first
--- a/internal/lookup/replica_view.go
+++ b/internal/lookup/replica_view.go
@@ -47,11 +47,12 @@
 	tracked := make(map[fleet.ServerID]trackedReplica, len(e.replicas))
 	for id, replicas := range view.Replicas {
 		g := &replicaGroup{service: view.Table.Service(id), budget: e.budgetOf(id)}
-		for _, replica := range replicas {
+		for i, replica := range replicas {
 			state := e.replicas[replica.ID]
 			if state.health == nil || !state.replica.SameProcess(replica) {
-				state = trackedReplica{health: &replicaHealth{id: replica.ID, zone: e.reachabilityOf(replica.Zone)}}
+				state = trackedReplica{health: &replicaHealth{id: replica.ID, instances: &e.instances, zone: e.reachabilityOf(replica.Zone)}}
 			}
+			state.health.setLimitPosition(float64(i) / float64(len(replicas)))
 			state.replica, state.absentSince = replica, time.Time{}
 			tracked[replica.ID] = state
 			m := member{Replica: replica, local: replica.Zone == e.zone, coldLimit: -1, health: state.health}
@@ -70,7 +71,7 @@
 			state.absentSince = now
 			e.notifyRemoved(id)
 		}
-		if !state.health.currentSelfReport().acceptsRequests(now) && now.Sub(state.absentSince) < maxSelfReportTTL {
+		if state.health.hasSelfReport(now) && now.Sub(state.absentSince) < maxSelfReportTTL {
 			tracked[id] = state
 		}
 	}
--- a/internal/lookup/request_limit.go
+++ b/internal/lookup/request_limit.go
@@ -1,6 +1,7 @@
 package lookup
 
 import (
+	"math"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -35,15 +36,78 @@
 	return FirstSend
 }
 
-// minLoggedLimitChange is the relative change of a named limit from which it is logged. A replica may name a slightly
-// different limit in each answer.
-const minLoggedLimitChange = 0.1
+// A replica that names a request limit relies on a bound on the requests of all instances together: in any 4 s, 1.5
+// times what the limit allows, and 5 more. The instances divide the limit among themselves without asking each other.
+// Each share is a token bucket, and all buckets may be full at once. The sum stays within the bound if as many
+// instances as fit into the part of it beyond the limit itself, the users, have a bucket. With a bucket for each of 118
+// instances, their first requests after a pause alone would exceed the bound.
+const (
+	// usedShare is the part of a limit that the instances use together. The rest is for requests that arrive closer
+	// together than they were sent, and for instances that have not yet learnt of the limit.
+	usedShare = 0.9
+	// usersPerLimit and minUsers give the maximum number of users of a limit, and of the tokens in all of their buckets.
+	usersPerLimit, minUsers = 1.9, 3
+	// maxTokenInterval bounds the time between two tokens of a user, and with it the time in which a user finds that the
+	// limit has ended.
+	maxTokenInterval = 5 * time.Second
+	// bucketTime is the time in which an empty bucket fills if it holds more than one token.
+	bucketTime = 500 * time.Millisecond
+	// trialShare is the part of a limit that the other instances use. They send a request now and then to find out
+	// whether the limit has ended.
+	trialShare = 0.1
+	// trialWindow is the time for which a trial may be sent, as a share of the interval between two trials. Trials that
+	// fall into a pause of the callers must not all be sent after it.
+	trialWindow = 0.1
+	// minRequestLimit is the limit that is assumed for replicas that name a lower one. Without any request, no instance
+	// could find out that the limit has ended.
+	minRequestLimit = 0.1
+	// maxLimitWait caps the time until an instance may send to the replica again. By then other instances may have
+	// tokens left, or another replica may take the request.
+	maxLimitWait = time.Second
+	// limitTimerMargin is added to the time of the next token, so that rounding does not make a request wait again.
+	limitTimerMargin = time.Millisecond
+	// minLoggedLimitChange is the relative change of a named limit from which it is logged. A replica may name a slightly
+	// different limit in each answer.
+	minLoggedLimitChange = 0.1
+)
+
+// requestShare is the part of a replica's request limit that this instance may use.
+type requestShare struct {
+	// perSecond is the number of tokens a second, and burst how many tokens the bucket holds.
+	perSecond, burst float64
+	// trial is set for an instance that is not among the users of the limit.
+	trial bool
+}
+
+// requestShare returns the part of a limit that this instance may use. The users are consecutive in the order of the
+// instances, beginning at a position from 0 to 1. That order is the same for all replicas, so that an instance that may
+// use one limited shard of an index may use the others as well: a request needs nearly all of them.
+func (s *instanceSet) requestShare(limit, position float64) requestShare {
+	limit = max(limit, minRequestLimit)
+	instances := float64(max(s.count, 1))
+	maxTokens := usersPerLimit*limit + minUsers
+	users := math.Floor(min(instances, maxTokens, max(1, limit*maxTokenInterval.Seconds())))
+	if others := instances - users; others > 0 {
+		if offset := math.Mod(float64(s.rank)-math.Floor(position*instances)+instances, instances); offset >= users {
+			return requestShare{perSecond: trialShare * usedShare * limit / others, burst: 1, trial: true}
+		}
+		limit *= 1 - trialShare
+	}
+	perSecond := usedShare * limit / users
+	return requestShare{perSecond: perSecond, burst: max(1, min(maxTokens/users, perSecond*bucketTime.Seconds()))}
+}
 
-// requestLimit is the request rate that a replica has named in its last answer.
+// requestLimit is the request rate that a replica has named in its last answer, and this instance's use of it.
 type requestLimit struct {
 	named bool
 	// perSecond is how many requests a second the replica takes from all instances together.
 	perSecond float64
+	// position is where the users of the limit begin in the order of the instances.
+	position float64
+	// tokens is the number of tokens at the time refilled. It is negative after concurrent sends that each found the
+	// last token.
+	tokens   float64
+	refilled time.Time
 	// since is when the replica first named a limit, logged the limit that the log last had, and sends the number of
 	// sends to the replica since then.
 	since  time.Time
@@ -53,14 +117,19 @@
 
 // record records what an answer states about the limit. The limit ends with an answer that names none, unless that
 // answer may not be the replica's own.
-func (l *requestLimit) record(id fleet.ServerID, now time.Time, outcome *Outcome) {
+func (l *requestLimit) record(id fleet.ServerID, instances *instanceSet, now time.Time, outcome *Outcome) {
 	switch {
+	case outcome.RequestLimit != nil && !l.named:
+		l.named, l.perSecond, l.since, l.logged, l.sends = true, *outcome.RequestLimit, now, *outcome.RequestLimit, [sendKinds]int{}
+		if l.refilled.IsZero() { // the instances begin at different levels, so that their tokens do not come at the same time
+			l.tokens, l.refilled = float64(instances.rank)/float64(max(instances.count, 1)), now
+		}
+		share := instances.requestShare(l.perSecond, l.position)
+		klog.InfoS("Replica named a request limit", "replica", id, "per-second", l.perSecond, "share", share.perSecond, "trial", share.trial, "instances", instances.count)
 	case outcome.RequestLimit != nil:
+		l.refill(instances, now)
 		l.perSecond = *outcome.RequestLimit
-		if !l.named {
-			l.named, l.since, l.logged, l.sends = true, now, l.perSecond, [sendKinds]int{}
-			klog.InfoS("Replica named a request limit", "replica", id, "per-second", l.perSecond)
-		} else if difference := l.perSecond - l.logged; max(difference, -difference) > minLoggedLimitChange*l.logged {
+		if math.Abs(l.perSecond-l.logged) > minLoggedLimitChange*l.logged {
 			l.logged = l.perSecond
 			klog.InfoS("Replica changed its request limit", "replica", id, "per-second", l.perSecond)
 		}
@@ -71,10 +140,53 @@
 	}
 }
 
-// countLimitedSend counts a send to the replica if it names a request limit, and reports whether it does.
-func (h *replicaHealth) countLimitedSend(kind SendKind) bool {
+// refill adds the tokens of the time since the last refill and returns this instance's share.
+func (l *requestLimit) refill(instances *instanceSet, now time.Time) requestShare {
+	share := instances.requestShare(l.perSecond, l.position)
+	l.tokens += share.perSecond * max(0, now.Sub(l.refilled).Seconds())
+	l.refilled = now
+	if !share.trial {
+		l.tokens = min(l.tokens, share.burst)
+	} else if l.tokens > 1+trialWindow {
+		l.tokens = math.Mod(l.tokens, 1)
+	}
+	return share
+}
+
+// nextAt returns the earliest time at which this instance may send to the replica, and maxLimitWait from now if that is
+// later.
+func (l *requestLimit) nextAt(instances *instanceSet, now time.Time) time.Time {
+	if !l.named {
+		return now
+	}
+	share := l.refill(instances, now)
+	if l.tokens >= 1 {
+		return now
+	}
+	wait := min((1-l.tokens)/share.perSecond, maxLimitWait.Seconds())
+	return now.Add(time.Duration(wait*float64(time.Second)) + limitTimerMargin)
+}
+
+// take counts a send.
+func (l *requestLimit) take(instances *instanceSet, now time.Time, kind SendKind) {
+	if l.named {
+		l.refill(instances, now)
+		l.tokens--
+		l.sends[kind]++
+	}
+}
+
+// setLimitPosition sets where the users of the replica's request limit begin. The replicas of a service have different
+// users, so that as many instances as possible may use one of them.
+func (h *replicaHealth) setLimitPosition(position float64) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.requestLimit.position = position
+}
+
+// limited reports whether the replica names a request limit.
+func (h *replicaHealth) limited() bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.requestLimit.sends[kind]++
 	return h.requestLimit.named
 }
--- a/internal/lookup/request_limit_test.go
+++ b/internal/lookup/request_limit_test.go
@@ -178,3 +178,61 @@
 		}
 	}
 }
+
+// TestRequestLimitEnds guards against instances that go on sending a replica too little after its limit has ended.
+func TestRequestLimitEnds(t *testing.T) {
+	const usual, limit = 60.0, 12.0
+	for _, instances := range []int{1, 4, 33, 118} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			runInBubble(t, func(t *testing.T) {
+				f := newLimitedFleet(t, instances, limit, "s0-a")
+				f.runLoad(usual, 20*time.Second)
+				f.setLimited()
+				f.runLoad(usual, 15*time.Second)
+				before := len(f.sent["s0-a"])
+				f.runLoad(usual, 10*time.Second)
+				perSecond := float64(len(f.sent["s0-a"])-before) / 10
+				t.Logf("%.1f requests a second, 15 s after the end of the limit", perSecond)
+				is.New(t).True(perSecond > usual/4)
+			})
+		})
+	}
+}
+
+// TestRequestLimitsOfAllReplicas replays an index whose replicas all take less than callers ask for. It guards against
+// requests that use up the limits without reaching their floor, against refusals that come late or without a time to
+// come back, and against limits that are left unused.
+func TestRequestLimitsOfAllReplicas(t *testing.T) {
+	const usual, limit, duration = 60.0, 12.0, 20 * time.Second
+	for _, instances := range []int{1, 4, 33, 118} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			runInBubble(t, func(t *testing.T) {
+				is := is.New(t)
+				var all []fleet.ServerID
+				for i := range shards {
+					all = append(all, fleet.ServerID(serviceOf(i)+"-a"), fleet.ServerID(serviceOf(i)+"-b"))
+				}
+				f := newLimitedFleet(t, instances, limit, all...)
+				f.runLoad(usual, 10*time.Second)
+				served, refused, lost := 0, 0, 0
+				for _, result := range f.runLoad(usual, duration) {
+					switch {
+					case result.Failure == nil:
+						served++
+						is.True(result.took <= objective)
+					case result.Failure.Verdict == verdict.NotRun:
+						refused++
+						is.True(result.Failure.RetryAfter >= defaultRetryAfter && result.Failure.RetryAfter <= 2*time.Second)
+						is.True(result.took <= objective/4)
+					default:
+						lost++
+					}
+				}
+				permitted := 2 * limit * duration.Seconds()
+				is.True(100*lost <= served)
+				is.True(float64(served) >= permitted/2)
+				t.Logf("%d served, %.2f of what the limits permit; %d refused, %d lost", served, float64(served)/permitted, refused, lost)
+			})
+		})
+	}
+}
--- a/internal/lookup/self_report.go
+++ b/internal/lookup/self_report.go
@@ -13,8 +13,8 @@
 // of the replica, and a process that announced so long ago that it is leaving has ended.
 const maxSelfReportTTL = time.Hour
 
-// selfReport is what a replica has stated about itself in its answers: that it is leaving, or until when it wants no
-// request from this instance. It is always obeyed, unlike measurements of a replica, and it is kept when the replica's
+// selfReport is what a replica has stated about itself in its answers, besides its request limit: that it is leaving, or
+// until when it wants no request from this instance. It is always obeyed, unlike measurements of a replica, and it is kept when the replica's
 // entry disappears: a zone that is taken out and returned, or an entry that expires and is registered again, must not
 // make a process that is leaving eligible again.
 type selfReport struct {
@@ -45,16 +45,40 @@
 	}
 }
 
-// currentSelfReport returns what the replica has stated about itself.
-func (h *replicaHealth) currentSelfReport() selfReport {
+// hasSelfReport reports whether a statement of the replica about itself is in force.
+func (h *replicaHealth) hasSelfReport(now time.Time) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.selfReport
+	return h.requestLimit.named || !h.selfReport.acceptsRequests(now)
+}
+
+// acceptsAt returns the earliest time at which the replica accepts a request of this instance, according to its own
+// statements. ok is false if the replica is leaving. The caller holds the lock.
+func (h *replicaHealth) acceptsAt(now time.Time) (at time.Time, ok bool) {
+	if h.selfReport.leaving {
+		return at, false
+	}
+	return latest(h.selfReport.pausedUntil, h.requestLimit.nextAt(h.instances.Load(), now)), true
+}
+
+// acceptsAtLocking is like acceptsAt but takes the lock.
+func (h *replicaHealth) acceptsAtLocking(now time.Time) (at time.Time, ok bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.acceptsAt(now)
+}
+
+// acceptsNow reports whether the replica accepts a request of this instance now, according to its own statements. The
+// caller holds the lock.
+func (h *replicaHealth) acceptsNow(now time.Time) bool {
+	at, ok := h.acceptsAt(now)
+	return ok && !at.After(now)
 }
 
 // availableAt returns the earliest time at which a replica of the group that the route allows accepts requests,
-// according to the replicas' own statements: now, or the end of the shortest pause. ok is false if no allowed replica
-// exists or all of them are leaving. Silent replicas are treated like others. The group may be nil.
+// according to the replicas' own statements: now, the end of the shortest pause, or when a request limit permits a
+// request of this instance. ok is false if no allowed replica exists or all of them are leaving. Silent replicas are
+// treated like others. The group may be nil.
 func (g *replicaGroup) availableAt(route *routing.Route, now time.Time) (at time.Time, ok bool) {
 	if g == nil {
 		return at, false
@@ -63,22 +87,24 @@
 		if !route.Allows(g.members[i].Region) {
 			continue
 		}
-		report := g.members[i].health.currentSelfReport()
-		if report.leaving {
-			continue
-		}
-		from := latest(report.pausedUntil, now)
-		if !ok || from.Before(at) {
+		if from, accepts := g.members[i].health.acceptsAtLocking(now); accepts && (!ok || from.Before(at)) {
 			at, ok = from, true
 		}
 	}
 	return at, ok
 }
 
+// postponed reports whether the replicas' own statements keep all replicas of the group that the route allows from
+// getting a request now, but not for good.
+func (g *replicaGroup) postponed(route *routing.Route, now time.Time) bool {
+	at, ok := g.availableAt(route, now)
+	return ok && at.After(now)
+}
+
 // floorAvailableAt returns the earliest time at which enough shards of the route to meet its coverage floor have a
 // replica that accepts requests, according to the replicas' own statements. ok is false if too many shards have none.
-// It covers the case in which all replicas of an index ask for a pause at the same time, so that nothing can be sent
-// before the pause ends.
+// It covers the case in which all replicas of an index ask for a pause or name a request limit at the same time, so that
+// too little can be sent before.
 func (v *replicaView) floorAvailableAt(route *routing.Route, required int, now time.Time) (at time.Time, ok bool) {
 	times := make([]time.Time, 0, len(route.Shards))
 	for _, service := range route.Shards {
--- a/internal/lookup/self_report_test.go
+++ b/internal/lookup/self_report_test.go
@@ -115,11 +115,11 @@
 func TestShorterPauseDoesNotEndLonger(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	h := &replicaHealth{}
+	h := newTestHealth()
 	h.recordSelfReport(now, &Outcome{RetryAfter: 3 * time.Second})
 	h.recordSelfReport(now.Add(time.Second), &Outcome{RetryAfter: time.Second})
-	is.True(!h.currentSelfReport().acceptsRequests(now.Add(2500 * time.Millisecond)))
-	is.True(h.currentSelfReport().acceptsRequests(now.Add(3 * time.Second)))
+	is.True(!h.selfReport.acceptsRequests(now.Add(2500 * time.Millisecond)))
+	is.True(h.selfReport.acceptsRequests(now.Add(3 * time.Second)))
 }
 
 // TestAllReplicasPause replays an overload in which all replicas of some shards request a pause of 2 s and 3 s. It
--- a/internal/lookup/send.go
+++ b/internal/lookup/send.go
@@ -32,9 +32,9 @@
 // startSend sends the request to a replica on a new goroutine. The results channel must have room for every result, so
 // that a send that ends after its request does not block.
 func (e *Engine) startSend(ctx context.Context, request *Request, g *replicaGroup, send *replicaSend, shard int, stats *routeStats, results chan<- sendResult) {
-	send.sendNumber = send.to.health.beginSend(send.sent, send.expected)
+	send.sendNumber = send.to.health.beginSend(send.sent, send.expected, send.kind())
 	e.counters.Sends.Add(1)
-	if send.to.health.countLimitedSend(send.kind()) {
+	if send.to.health.limited() {
 		e.counters.LimitedSends[send.kind()].Add(1)
 	}
 	maxConnections := e.maxConnections(g)
--- a/internal/lookup/state_test.go
+++ b/internal/lookup/state_test.go
@@ -14,7 +14,7 @@
 func TestState(t *testing.T) {
 	start := time.Unix(1000, 0)
 	answer := func(h *replicaHealth, elapsed time.Duration, outcome Outcome) {
-		h.endSend(h.beginSend(start, work), start.Add(elapsed), &outcome)
+		h.endSend(h.beginSend(start, work, FirstSend), start.Add(elapsed), &outcome)
 	}
 	for name, test := range map[string]struct {
 		happen func(h *replicaHealth)
@@ -25,8 +25,8 @@
 		"never asked":      {func(*replicaHealth) {}, 0, false, Healthy},
 		"cold":             {func(*replicaHealth) {}, 0, true, Cold},
 		"answers in time":  {func(h *replicaHealth) { answer(h, work, good(0).outcome) }, work, false, Healthy},
-		"request waits":    {func(h *replicaHealth) { h.beginSend(start, work) }, work, false, Healthy},
-		"request stalls":   {func(h *replicaHealth) { h.beginSend(start, work) }, 4 * work, false, Stalled},
+		"request waits":    {func(h *replicaHealth) { h.beginSend(start, work, FirstSend) }, work, false, Healthy},
+		"request stalls":   {func(h *replicaHealth) { h.beginSend(start, work, FirstSend) }, 4 * work, false, Stalled},
 		"slow":             {func(h *replicaHealth) { answer(h, 10*work, good(0).outcome) }, 10 * work, false, Slow},
 		"slow long ago":    {func(h *replicaHealth) { answer(h, 10*work, good(0).outcome) }, time.Minute, false, Healthy},
 		"refuses requests": {func(h *replicaHealth) { answer(h, 0, rejecting().outcome); answer(h, 0, rejecting().outcome) }, 0, false, Failing},
@@ -42,7 +42,7 @@
 		}, time.Minute, false, Misdirected},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := &replicaHealth{}
+			h := newTestHealth()
 			test.happen(h)
 			is.New(t).Equal(h.state(start.Add(test.after), test.cold), test.want)
 		})
--- a/internal/lookup/zone_monitor.go
+++ b/internal/lookup/zone_monitor.go
@@ -257,7 +257,7 @@
 		return true
 	}
 	for _, route := range current.table.Routes() {
-		if len(route.Shards) > 0 && e.shardsExpectedToAnswer(current, route, now) < requiredShards(route) {
+		if expected, _ := e.shardsExpectedToAnswer(current, route, now); len(route.Shards) > 0 && expected < requiredShards(route) {
 			return false
 		}
 	}
@@ -286,33 +286,43 @@
 // group may be nil.
 func (g *replicaGroup) hasReplicaExpectedToAnswerIn(route *routing.Route, zone fleet.ZoneID, now time.Time) bool {
 	return g != nil && slices.ContainsFunc(g.members, func(m member) bool {
-		return m.Zone == zone && route.Allows(m.Region) && m.health.expectedToAnswer(now)
+		expected, _ := m.health.expectedToAnswer(now)
+		return expected && m.Zone == zone && route.Allows(m.Region)
 	})
 }
 
-// shardsExpectedToAnswer returns the number of the route's shards with a replica that is expected to answer.
-func (e *Engine) shardsExpectedToAnswer(current *replicaView, route *routing.Route, now time.Time) int {
-	count := 0
+// shardsExpectedToAnswer returns the number of the route's shards with a replica that is expected to answer, and the
+// number of those that have one whose request limit permits this instance to send a request now.
+func (e *Engine) shardsExpectedToAnswer(current *replicaView, route *routing.Route, now time.Time) (expected, permitted int) {
 	for _, service := range route.Shards {
-		if e.hasReplicaExpectedToAnswer(route, current.groups[service], now) {
-			count++
+		replicaExpected, replicaPermitted := current.groups[service].expectedToAnswer(route, now)
+		if replicaExpected {
+			expected++
+		}
+		if replicaPermitted {
+			permitted++
 		}
 	}
-	return count
+	return expected, permitted
 }
 
-// hasReplicaExpectedToAnswer reports whether a replica of the group that the route allows is expected to answer. The
-// group may be nil.
-func (*Engine) hasReplicaExpectedToAnswer(route *routing.Route, g *replicaGroup, now time.Time) bool {
+// expectedToAnswer reports whether a replica of the group that the route allows is expected to answer, and whether one
+// of these has a request limit that permits this instance to send a request now, or none. The group may be nil.
+func (g *replicaGroup) expectedToAnswer(route *routing.Route, now time.Time) (expected, permitted bool) {
 	if g == nil {
-		return false
+		return false, false
 	}
 	for i := range g.members {
-		if route.Allows(g.members[i].Region) && g.members[i].health.expectedToAnswer(now) {
-			return true
+		if !route.Allows(g.members[i].Region) {
+			continue
+		}
+		replicaExpected, replicaPermitted := g.members[i].health.expectedToAnswer(now)
+		if replicaPermitted {
+			return true, true
 		}
+		expected = expected || replicaExpected
 	}
-	return false
+	return expected, false
 }
 
 // probeSilent probes some of the silent replicas. One that accepts the connection becomes eligible for requests again,
