lookup: start requests that need request limits one after the other

What callers saw: with all replicas of an index limited, a few requests in a thousand were answered late or refused only after their time in the queue.

Cause: two requests that found the same tokens each got some of them, and both missed their floors. The check and the sends are now one step for requests that need limits; others start as before.

--- /dev/null
+++ b/internal/lookup/availability.go
@@ -0,0 +1,74 @@
+package lookup
+
+import (
+	"time"
+
+	"github.com/medlarlatch/medlarlatch/internal/routing"
+)
+
+// availability is whether a replica, or a shard by the best of its replicas, can be sent a request by this instance.
+type availability int
+
+const (
+	// unavailable replicas are not expected to answer: they are unresponsive, leaving or paused.
+	unavailable availability = iota
+	// exhausted replicas are expected to answer, but their request limit does not permit this instance to send now.
+	exhausted
+	// limited replicas have a request limit, which permits this instance to send now.
+	limited
+	// available replicas can be sent requests without a limit.
+	available
+	availabilities = iota
+)
+
+// availability returns whether the replica can be sent a request now. A replica that is only stalled can.
+func (h *replicaHealth) availability(now time.Time) availability {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	switch {
+	case !h.selfReport.acceptsRequests(now) || h.unresponsiveLocked(now):
+		return unavailable
+	case !h.requestLimit.named:
+		return available
+	case h.acceptsNow(now):
+		return limited
+	}
+	return exhausted
+}
+
+// availability returns the best availability of the group's replicas that the route allows. The group may be nil.
+func (g *replicaGroup) availability(route *routing.Route, now time.Time) availability {
+	best := unavailable
+	if g == nil {
+		return best
+	}
+	for i := range g.members {
+		if route.Allows(g.members[i].Region) {
+			best = max(best, g.members[i].health.availability(now))
+		}
+		if best == available {
+			break
+		}
+	}
+	return best
+}
+
+// shardCounts is the number of a route's shards with each availability.
+type shardCounts [availabilities]int
+
+// shardCounts returns the availability of the route's shards.
+func (v *replicaView) shardCounts(route *routing.Route, now time.Time) (counts shardCounts) {
+	for _, service := range route.Shards {
+		counts[v.groups[service].availability(route, now)]++
+	}
+	return counts
+}
+
+// expected returns the number of shards with a replica that is expected to answer.
+func (c shardCounts) expected() int { return c[exhausted] + c[limited] + c[available] }
+
+// permitted returns the number of shards with a replica that can be sent a request now.
+func (c shardCounts) permitted() int { return c[limited] + c[available] }
+
+// limited reports whether a request needs the request limit of a replica.
+func (c shardCounts) limited() bool { return c[exhausted]+c[limited] > 0 }
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -50,7 +50,9 @@
 	// trial is set for a request that most likely cannot reach its floor but is sent to find out whether replicas have
 	// recovered.
 	trial bool
-	trace Trace
+	// limited is set if the request needed the request limit of a replica when it was last checked.
+	limited bool
+	trace   Trace
 }
 
 func newFanout(ctx context.Context, e *Engine, request *Request, waited time.Duration) *fanout {
@@ -89,10 +91,10 @@
 		return f.refuse(overloadedError())
 	}
 	defer f.limiter.release(work)
-	now := time.Now()
-	f.started = now
-	for i := range f.parts {
-		f.startPart(i, now)
+	for !f.start(time.Now()) {
+		if refusal := f.waitUntilReachable(); refusal != nil {
+			return f.refuse(refusal)
+		}
 	}
 	timer := time.NewTimer(checkInterval)
 	defer timer.Stop()
@@ -116,6 +118,24 @@
 	}
 }
 
+// start sends the parts for the first time and reports whether it did. Requests that need
+// request limits are started one after the other: two that found the same tokens would each get some of them and miss
+// their floors.
+func (f *fanout) start(now time.Time) bool {
+	if f.limited && !f.trial {
+		f.limiter.startMutex.Lock()
+		defer f.limiter.startMutex.Unlock()
+		if startAt, refusal := f.checkReachable(now); refusal != nil || startAt.After(now) {
+			return false
+		}
+	}
+	f.started = now
+	for i := range f.parts {
+		f.startPart(i, now)
+	}
+	return true
+}
+
 // countRequest counts the request in the budgets of its shards.
 func (f *fanout) countRequest(now time.Time) {
 	view, allowed := f.engine.view.Load(), f.engine.allowance(now)
@@ -151,14 +171,15 @@
 // retry at another instance.
 func (f *fanout) checkReachable(now time.Time) (startAt time.Time, refusal *verdict.Error) {
 	view := f.engine.view.Load()
-	expected, permitted := f.engine.shardsExpectedToAnswer(view, f.request.Route, now)
-	if permitted >= f.required {
+	counts := view.shardCounts(f.request.Route, now)
+	f.limited = counts.limited()
+	if counts.permitted() >= f.required {
 		return now, nil
 	}
 	from, ok := view.floorAvailableAt(f.request.Route, f.required, now)
 	postponed := ok && from.After(now)
-	if expected >= f.required && postponed {
-		return f.awaitRequestLimits(permitted, from, now)
+	if counts.expected() >= f.required && postponed {
+		return f.awaitRequestLimits(counts.permitted(), from, now)
 	}
 	retryAfter := unavailableRetryAfter
 	switch {
@@ -171,7 +192,7 @@
 		return now, nil
 	}
 	return now, verdict.New(verdict.NotRun, verdict.NoReplica, "%d of %d shards have a replica that is expected to answer, %d are required",
-		expected, len(f.parts), f.required).WithRetryAfter(max(retryAfter, f.engine.callerRetryAfter(now)))
+		counts.expected(), len(f.parts), f.required).WithRetryAfter(max(retryAfter, f.engine.callerRetryAfter(now)))
 }
 
 // awaitRequestLimits returns when to start a request that the request limits of replicas keep from reaching its floor
--- a/internal/lookup/fanout_result.go
+++ b/internal/lookup/fanout_result.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		g := view.groups[p.service]
-		if expected, _ := g.expectedToAnswer(f.request.Route, now); expected || p.hasResponsiveReplica(now) || f.awaitsPauseEnd(p, g, now) {
+		if p.hasResponsiveReplica(now) || g.availability(f.request.Route, now) != unavailable || f.awaitsPauseEnd(p, g, now) {
 			count++
 		}
 	}
--- a/internal/lookup/limiter.go
+++ b/internal/lookup/limiter.go
@@ -73,6 +73,8 @@
 	lastQueued time.Time
 	queue      []*waiter
 	throttle   throttle
+	// startMutex is held while a request that needs request limits of replicas sends its parts.
+	startMutex sync.Mutex
 }
 
 // waiter is a queued request; ready is closed when it is admitted.
--- a/internal/lookup/replica_health.go
+++ b/internal/lookup/replica_health.go
@@ -287,7 +287,7 @@
 }
 
 // usable reports whether the replica accepts another request over at most maxConnections connections, and whether it is
-// responding: neither suspected of being silent nor stalled. Unlike expectedToAnswer, which decides whether a shard can
+// responding: neither suspected of being silent nor stalled. Unlike availability, which decides whether a shard can
 // be answered at all, responding is about the choice among the replicas of a shard.
 func (h *replicaHealth) usable(now time.Time, maxConnections int) (accepts, responding bool) {
 	h.mutex.Lock()
@@ -315,15 +315,6 @@
 	return true
 }
 
-// expectedToAnswer reports whether the replica accepts requests and is not considered unresponsive, and whether its
-// request limit permits this instance to send one now. A replica that is only stalled is expected to answer.
-func (h *replicaHealth) expectedToAnswer(now time.Time) (expected, permitted bool) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	expected = h.selfReport.acceptsRequests(now) && !h.unresponsiveLocked(now)
-	return expected, expected && h.acceptsNow(now)
-}
-
 // isUnresponsive reports whether the replica has recently not answered at all. After a suspicion has ended, the first
 // request to the replica shows whether it answers again; until then other requests regard it as unresponsive.
 func (h *replicaHealth) isUnresponsive(now time.Time) bool {
--- a/internal/lookup/request_limit.go
+++ b/internal/lookup/request_limit.go
@@ -54,7 +54,7 @@
 	bucketTime = 500 * time.Millisecond
 	// trialShare is the part of a limit that the other instances use. They send a request now and then to find out
 	// whether the limit has ended.
-	trialShare = 0.1
+	trialShare = 0.2
 	// trialWindow is the time for which a trial may be sent, as a share of the interval between two trials. Trials that
 	// fall into a pause of the callers must not all be sent after it.
 	trialWindow = 0.1
--- a/internal/lookup/zone_monitor.go
+++ b/internal/lookup/zone_monitor.go
@@ -257,7 +257,7 @@
 		return true
 	}
 	for _, route := range current.table.Routes() {
-		if expected, _ := e.shardsExpectedToAnswer(current, route, now); len(route.Shards) > 0 && expected < requiredShards(route) {
+		if len(route.Shards) > 0 && current.shardCounts(route, now).expected() < requiredShards(route) {
 			return false
 		}
 	}
@@ -286,45 +286,10 @@
 // group may be nil.
 func (g *replicaGroup) hasReplicaExpectedToAnswerIn(route *routing.Route, zone fleet.ZoneID, now time.Time) bool {
 	return g != nil && slices.ContainsFunc(g.members, func(m member) bool {
-		expected, _ := m.health.expectedToAnswer(now)
-		return expected && m.Zone == zone && route.Allows(m.Region)
+		return m.Zone == zone && route.Allows(m.Region) && m.health.availability(now) != unavailable
 	})
 }
 
-// shardsExpectedToAnswer returns the number of the route's shards with a replica that is expected to answer, and the
-// number of those that have one whose request limit permits this instance to send a request now.
-func (e *Engine) shardsExpectedToAnswer(current *replicaView, route *routing.Route, now time.Time) (expected, permitted int) {
-	for _, service := range route.Shards {
-		replicaExpected, replicaPermitted := current.groups[service].expectedToAnswer(route, now)
-		if replicaExpected {
-			expected++
-		}
-		if replicaPermitted {
-			permitted++
-		}
-	}
-	return expected, permitted
-}
-
-// expectedToAnswer reports whether a replica of the group that the route allows is expected to answer, and whether one
-// of these has a request limit that permits this instance to send a request now, or none. The group may be nil.
-func (g *replicaGroup) expectedToAnswer(route *routing.Route, now time.Time) (expected, permitted bool) {
-	if g == nil {
-		return false, false
-	}
-	for i := range g.members {
-		if !route.Allows(g.members[i].Region) {
-			continue
-		}
-		replicaExpected, replicaPermitted := g.members[i].health.expectedToAnswer(now)
-		if replicaPermitted {
-			return true, true
-		}
-		expected = expected || replicaExpected
-	}
-	return expected, false
-}
-
 // probeSilent probes some of the silent replicas. One that accepts the connection becomes eligible for requests again,
 // even before its suspicion ends. Without probes, an unreachable zone would not be found to be back, because no request
 // is sent to it.
