lookup: buckets of request limits hold what a replica takes in a second

What callers saw: while one of two replicas of a shard is limited, somewhat more answers leave that shard out: parts that move over when the other one stalls find no tokens.

Buckets of 2 s would let twice of what a replica takes in a second reach it at once, so 1 s is kept.

The bound is kept in all 28 cases of TestRequestLimitIsKept.

--- a/internal/lookup/request_limit.go
+++ b/internal/lookup/request_limit.go
@@ -50,8 +50,9 @@
 	// maxTokenInterval bounds the time between two tokens of a user, and with it the time in which a user finds that the
 	// limit has ended.
 	maxTokenInterval = 5 * time.Second
-	// bucketTime is the time in which an empty bucket fills if it holds more than one token.
-	bucketTime = 500 * time.Millisecond
+	// bucketTime is the time in which an empty bucket fills if it holds more than one token. Tokens are saved up for the
+	// moments in which the other replicas of a shard stall.
+	bucketTime = time.Second
 	// trialShare is the part of a limit that the other instances use. They send a request now and then to find out
 	// whether the limit has ended.
 	trialShare = 0.2
