lookup, sighting: pass on that a replica has ended its request limit

What callers saw: nothing yet. After a limit has ended, replicas go on getting too little from instances that may hardly send to them, and the others of their service get too much.

Cause: an instance learns of the end only from an answer. Where the bound has no room for all instances, or the limit is low, most of them try once in 1 to 20 minutes.

Change: an instance that finds the end tells the hubs of all zones, and every instance that hears of it may send one request at once to find out. A hint lifts no limit, and one that was wrong mutes further ones for 10 s, since peers are not authenticated.

--- a/internal/lookup/replica_health.go
+++ b/internal/lookup/replica_health.go
@@ -109,7 +109,7 @@
 	}
 	elapsed := now.Sub(ended.sent)
 	h.recordSelfReport(now, outcome)
-	h.requestLimit.record(h.id, h.instances.Load(), now, outcome)
+	seen.limitEnded = h.requestLimit.record(h.id, h.instances.Load(), now, outcome)
 	switch {
 	case outcome.answered():
 		h.zone.recordAnswer(now)
--- a/internal/lookup/request_limit.go
+++ b/internal/lookup/request_limit.go
@@ -67,6 +67,9 @@
 	maxLimitWait = time.Second
 	// limitTimerMargin is added to the time of the next token, so that rounding does not make a request wait again.
 	limitTimerMargin = time.Millisecond
+	// hintInterval is the time after a trial at the hint of another instance that found the limit still in force, in which
+	// further hints are ignored. Peers are not authenticated, and hints must not lift a limit.
+	hintInterval = 10 * time.Second
 	// minLoggedLimitChange is the relative change of a named limit from which it is logged. A replica may name a slightly
 	// different limit in each answer.
 	minLoggedLimitChange = 0.1
@@ -109,6 +112,10 @@
 	// last token.
 	tokens   float64
 	refilled time.Time
+	// hinted is set from the hint of another instance that the limit has ended until the next answer. hintsFrom is when
+	// hints are heeded again.
+	hinted    bool
+	hintsFrom time.Time
 	// since is when the replica first named a limit, logged the limit that the log last had, and sends the number of
 	// sends to the replica since then.
 	since  time.Time
@@ -117,8 +124,11 @@
 }
 
 // record records what an answer states about the limit. The limit ends with an answer that names none, unless that
-// answer may not be the replica's own.
-func (l *requestLimit) record(id fleet.ServerID, instances *instanceSet, now time.Time, outcome *Outcome) {
+// answer may not be the replica's own. The result reports whether other instances may not know yet that it has ended.
+func (l *requestLimit) record(id fleet.ServerID, instances *instanceSet, now time.Time, outcome *Outcome) (ended bool) {
+	if outcome.RequestLimit != nil && l.hinted {
+		l.hinted, l.hintsFrom = false, now.Add(hintInterval)
+	}
 	switch {
 	case outcome.RequestLimit != nil && !l.named:
 		l.named, l.perSecond, l.since, l.logged, l.sends = true, *outcome.RequestLimit, now, *outcome.RequestLimit, [sendKinds]int{}
@@ -135,10 +145,24 @@
 			klog.InfoS("Replica changed its request limit", "replica", id, "per-second", l.perSecond)
 		}
 	case l.named && outcome.answered() && outcome.Reason != verdict.BadAnswer && outcome.Reason != verdict.Misdirected:
-		l.named = false
+		ended = !l.hinted
+		l.named, l.hinted = false, false
 		klog.InfoS("Replica ended its request limit", "replica", id, "per-second", l.perSecond, "after", now.Sub(l.since).Round(time.Millisecond),
 			"first", l.sends[FirstSend], "hedges", l.sends[HedgeSend], "retries", l.sends[RetrySend])
 	}
+	return ended
+}
+
+// hint lets this instance send the replica a request at once, to find out whether its limit has ended as another
+// instance says. It reports whether the hint was heeded.
+func (l *requestLimit) hint(instances *instanceSet, now time.Time) bool {
+	if !l.named || l.hinted || now.Before(l.hintsFrom) {
+		return false
+	}
+	l.refill(instances, now)
+	l.tokens = max(l.tokens, 1)
+	l.hinted = true
+	return true
 }
 
 // refill adds the tokens of the time since the last refill and returns this instance's share.
@@ -148,7 +172,7 @@
 	l.refilled = now
 	if !share.trial {
 		l.tokens = min(l.tokens, share.burst)
-	} else if l.tokens > 1+trialWindow {
+	} else if l.tokens > 1+trialWindow && !l.hinted {
 		l.tokens = math.Mod(l.tokens, 1)
 	}
 	return share
@@ -191,3 +215,11 @@
 	defer h.mutex.Unlock()
 	return h.requestLimit.named
 }
+
+// hintLimitEnded tells the replica's limit that it has ended according to another instance, and reports whether the hint
+// was heeded.
+func (h *replicaHealth) hintLimitEnded(now time.Time) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.requestLimit.hint(h.instances.Load(), now)
+}
--- a/internal/lookup/request_limit_test.go
+++ b/internal/lookup/request_limit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/directory"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/sighting"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
@@ -38,6 +40,9 @@
 	// limited are the replicas that name the limit.
 	limited map[fleet.ServerID]bool
 	sent    map[fleet.ServerID][]time.Time
+	// hub passes on what the instances report to each other, from position on.
+	hub      sighting.Hub
+	position uint64
 	// counted are the sends of instances that had learnt of the limit limitNotice ago.
 	counted map[fleet.ServerID][]time.Time
 }
@@ -60,6 +65,11 @@
 		s.engine.zone = []fleet.ZoneID{"a", "b", "c"}[i%3]
 		s.engine.sender = &limitedSender{fleet: f, learnt: make(map[fleet.ServerID]time.Time)}
 		s.engine.SetInstances(name, instanceNames(instances))
+		s.engine.reportSighting = func(seen sighting.Sighting) {
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			f.hub.Add(name, []sighting.Sighting{seen}, time.Now())
+		}
 		s.update(nil)
 		f.engines = append(f.engines, s)
 	}
@@ -106,11 +116,23 @@
 	return outcome
 }
 
+// share applies what the instances have reported since the last call.
+func (f *limitedFleet) share() {
+	f.mutex.Lock()
+	sightings, next := f.hub.Since(f.position, "", time.Now())
+	f.position = next
+	f.mutex.Unlock()
+	for _, s := range f.engines {
+		s.engine.ApplySightings(sightings)
+	}
+}
+
 // runLoad runs fan-outs at random times and instances for the given time and returns their results.
 func (f *limitedFleet) runLoad(perSecond float64, duration time.Duration) (results []timedResult) {
 	var mutex sync.Mutex
 	var running sync.WaitGroup
 	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(time.Duration(f.arrivals.ExpFloat64() / perSecond * float64(time.Second))) {
+		f.share()
 		s := f.engines[f.arrivals.IntN(len(f.engines))]
 		running.Go(func() {
 			began := time.Now()
@@ -182,27 +204,50 @@
 	}
 }
 
-// TestRequestLimitEnds guards against instances that go on sending a replica too little after its limit has ended:
-// within half a minute it must have half of its usual part again.
+// TestRequestLimitEnds guards against instances that go on sending a replica too little after its limit has ended: with
+// many instances, or a low limit, most of them hardly ever send it a request and do not find out by themselves.
 func TestRequestLimitEnds(t *testing.T) {
-	const usual, limit, settled = 60.0, 12.0, 30 * time.Second
-	for _, instances := range []int{1, 4, 33, 118} {
-		t.Run(fmt.Sprint(instances), func(t *testing.T) {
-			runInBubble(t, func(t *testing.T) {
-				f := newLimitedFleet(t, instances, limit, "s0-a")
-				f.runLoad(usual, 20*time.Second)
-				f.setLimited()
-				f.runLoad(usual, settled)
-				before := len(f.sent["s0-a"])
-				f.runLoad(usual, 10*time.Second)
-				perSecond := float64(len(f.sent["s0-a"])-before) / 10
-				t.Logf("%.1f requests a second, %v after the end of the limit", perSecond, settled)
-				is.New(t).True(perSecond > usual/4)
+	const usual, settled, measured = 60.0, 15 * time.Second, 10 * time.Second
+	for _, limit := range []float64{12, 0.7} {
+		for _, instances := range []int{1, 4, 33, 118} {
+			t.Run(fmt.Sprintf("%g a second, %d instances", limit, instances), func(t *testing.T) {
+				runInBubble(t, func(t *testing.T) {
+					f := newLimitedFleet(t, instances, limit, "s0-a")
+					f.runLoad(usual, 20*time.Second)
+					f.setLimited()
+					f.runLoad(usual, settled)
+					before := len(f.sent["s0-a"])
+					f.runLoad(usual, measured)
+					perSecond := float64(len(f.sent["s0-a"])-before) / measured.Seconds()
+					t.Logf("%.1f requests a second, %v after the end of the limit", perSecond, settled)
+					is.New(t).True(perSecond >= usual/4) // half of an equal part
+				})
 			})
-		})
+		}
 	}
 }
 
+// TestFalseLimitEnd guards against a peer that lifts a limit by saying that it has ended: each instance may find out with
+// one request, and then ignores that peer for a while.
+func TestFalseLimitEnd(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		const duration = 35 * time.Second
+		f := newLimitedFleet(t, 118, 12, "s0-a")
+		f.engines = slices.DeleteFunc(f.engines, func(s *testEngine) bool {
+			return !s.engine.instances.Load().requestShare(12, 0).trial
+		})[:1]
+		for len(f.sent["s0-a"]) == 0 {
+			f.runLoad(60, 100*time.Millisecond)
+		}
+		for range duration / (100 * time.Millisecond) {
+			f.engines[0].engine.ApplySightings([]sighting.Sighting{{Replica: "s0-a", StartedAt: 1, LimitEnded: true, ObservedAt: time.Now()}})
+			f.runLoad(60, 100*time.Millisecond)
+		}
+		t.Logf("%d requests", len(f.sent["s0-a"]))
+		is.New(t).True(len(f.counted["s0-a"]) <= int(duration/hintInterval)+2) // and a trial of its own
+	})
+}
+
 // TestRequestLimitsOfAllReplicas replays an index whose replicas all take less than callers ask for. It guards against
 // requests that use up the limits without reaching their floor, against refusals that come late or without a time to
 // come back, and against limits that are left unused.
--- a/internal/lookup/sightings.go
+++ b/internal/lookup/sightings.go
@@ -23,6 +23,8 @@
 	ratio float64
 	// rejected is set if the replica rejected or failed the send.
 	rejected bool
+	// limitEnded is set if the replica has stopped naming a request limit, and this instance found it first.
+	limitEnded bool
 }
 
 // reportZone informs the other instances that a zone is suspected of being unreachable.
@@ -32,9 +34,16 @@
 	}
 }
 
-// reportSend informs the other instances of a send that was slow, rejected or failed.
+// reportSend informs the other instances of a send that was slow, rejected or failed, or showed the end of a request
+// limit.
 func (e *Engine) reportSend(to *member, seen observation, now time.Time) {
-	if e.reportSighting == nil || !seen.rejected && seen.ratio < reportedRatio {
+	if e.reportSighting == nil {
+		return
+	}
+	if seen.limitEnded {
+		e.reportSighting(sighting.Sighting{Replica: to.ID, StartedAt: to.StartedAt, LimitEnded: true, ObservedAt: now})
+	}
+	if !seen.rejected && seen.ratio < reportedRatio {
 		return
 	}
 	s := sighting.Sighting{Replica: to.ID, StartedAt: to.StartedAt, ObservedAt: now}
@@ -46,23 +55,35 @@
 
 // ApplySightings applies what other instances have observed. With many instances, each sends to a replica too rarely to
 // find out by itself that the replica is slow or fails. Sightings affect the order in which replicas are chosen, keep
-// parts from being hedged to a replica that rejects requests, and help to tell why a request is late. Whether a replica
-// is silent, and whether a request can meet its coverage floor, is decided only from this instance's own sends and
-// probes.
+// parts from being hedged to a replica that rejects requests, help to tell why a request is late, and let this instance
+// send one request to find out whether a request limit has ended. Whether a replica is silent, and whether a request can
+// meet its coverage floor, is decided only from this instance's own sends and probes.
 func (e *Engine) ApplySightings(sightings []sighting.Sighting) {
 	e.updateMutex.Lock()
 	defer e.updateMutex.Unlock()
-	var slow []fleet.ServerID
+	var slow, unlimited []fleet.ServerID
 	for _, s := range sightings {
 		if s.Zone != "" {
 			e.applyZoneSighting(s)
-		} else if known := e.replicas[s.Replica]; known.health != nil && known.replica.StartedAt == s.StartedAt && known.health.applySighting(s) {
+			continue
+		}
+		known := e.replicas[s.Replica]
+		switch {
+		case known.health == nil || known.replica.StartedAt != s.StartedAt:
+		case s.LimitEnded:
+			if known.health.hintLimitEnded(time.Now()) {
+				unlimited = append(unlimited, s.Replica)
+			}
+		case known.health.applySighting(s):
 			slow = append(slow, s.Replica)
 		}
 	}
 	if len(slow) > 0 {
 		klog.InfoS("Replicas reported slow by other instances", "count", len(slow), "replicas", slow[:min(len(slow), maxLoggedReplicas)], "from", sightings[len(sightings)-1].From)
 	}
+	if len(unlimited) > 0 {
+		klog.InfoS("Request limits ended according to other instances", "count", len(unlimited), "replicas", unlimited[:min(len(unlimited), maxLoggedReplicas)], "from", sightings[len(sightings)-1].From)
+	}
 }
 
 // applyZoneSighting makes the zone monitor probe a zone that another instance of the own zone suspects of being
--- a/internal/sighting/message.go
+++ b/internal/sighting/message.go
@@ -15,12 +15,13 @@
 // sightingMessage is a Sighting on the wire. It carries an age instead of a time, because the clocks of instances may
 // differ.
 type sightingMessage struct {
-	Zone      fleet.ZoneID     `json:"zone,omitempty"`
-	Replica   fleet.ServerID   `json:"replica,omitempty"`
-	StartedAt int64            `json:"born,omitempty"`
-	Slowness  float64          `json:"slowness,omitempty"`
-	AgeMillis int64            `json:"age-millis"`
-	From      fleet.InstanceID `json:"from,omitempty"`
+	Zone       fleet.ZoneID     `json:"zone,omitempty"`
+	Replica    fleet.ServerID   `json:"replica,omitempty"`
+	StartedAt  int64            `json:"born,omitempty"`
+	Slowness   float64          `json:"slowness,omitempty"`
+	LimitEnded bool             `json:"limit-ended,omitempty"`
+	AgeMillis  int64            `json:"age-millis"`
+	From       fleet.InstanceID `json:"from,omitempty"`
 }
 
 type reportRequest struct {
@@ -41,7 +42,7 @@
 func encode(sightings []Sighting, now time.Time) []sightingMessage {
 	messages := make([]sightingMessage, len(sightings))
 	for i, s := range sightings {
-		messages[i] = sightingMessage{s.Zone, s.Replica, s.StartedAt, s.Slowness, max(0, now.Sub(s.ObservedAt).Milliseconds()), s.From}
+		messages[i] = sightingMessage{s.Zone, s.Replica, s.StartedAt, s.Slowness, s.LimitEnded, max(0, now.Sub(s.ObservedAt).Milliseconds()), s.From}
 	}
 	return messages
 }
@@ -53,7 +54,7 @@
 		if m.AgeMillis < 0 || m.AgeMillis >= sightingTTL.Milliseconds() || m.Slowness < 0 {
 			continue
 		}
-		sightings = append(sightings, Sighting{m.Zone, m.Replica, m.StartedAt, m.Slowness, now.Add(-time.Duration(m.AgeMillis) * time.Millisecond), m.From})
+		sightings = append(sightings, Sighting{m.Zone, m.Replica, m.StartedAt, m.Slowness, m.LimitEnded, now.Add(-time.Duration(m.AgeMillis) * time.Millisecond), m.From})
 	}
 	return sightings
 }
--- a/internal/sighting/sharer.go
+++ b/internal/sighting/sharer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -139,6 +141,7 @@
 	sightings := s.unreported
 	s.unreported = nil
 	s.mutex.Unlock()
+	s.reportToOtherZones(ctx, sightings)
 	now := time.Now()
 	hub, remote := s.currentHub(now)
 	if !remote {
@@ -152,6 +155,48 @@
 	}
 }
 
+// reportToOtherZones sends the sightings of request limits that have ended to the hubs of the other zones. The instances
+// that use a limit may all be in one zone, and the others hardly ever send the replica a request.
+func (s *Sharer) reportToOtherZones(ctx context.Context, sightings []Sighting) {
+	var ended []Sighting
+	for _, sighting := range sightings {
+		if sighting.LimitEnded {
+			ended = append(ended, sighting)
+		}
+	}
+	if len(ended) == 0 {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, hub := range s.otherHubs() {
+		calls.Go(func() {
+			defer panics.Recover("report sightings to another zone", nil)
+			if err := s.Peers.Call(callCtx, hub.PeerAddress, ReportMethod, reportRequest{s.Self.ID, encode(ended, time.Now())}, nil); err != nil {
+				klog.InfoS("Hub of sightings of another zone failed", "instance", hub.ID, "err", err)
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// otherHubs returns the hub of each other zone.
+func (s *Sharer) otherHubs() []directory.Instance {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	hubs := make(map[fleet.ZoneID]directory.Instance)
+	for _, instance := range s.instances {
+		if _, found := hubs[instance.Zone]; found || instance.Zone == s.Self.Zone {
+			continue
+		}
+		if hub, ok := directory.SelectInstance(hubRole, instance.Zone, s.instances, func(fleet.InstanceID) bool { return false }); ok {
+			hubs[instance.Zone] = hub
+		}
+	}
+	return slices.Collect(maps.Values(hubs))
+}
+
 // fetch fetches sightings of other instances from the hub and waits for them if necessary.
 func (s *Sharer) fetch(ctx context.Context) {
 	now := time.Now()
--- a/internal/sighting/sharer_test.go
+++ b/internal/sighting/sharer_test.go
@@ -16,7 +16,7 @@
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 )
 
-// fakeZone is a fake of the instances of one zone and the network between them.
+// fakeZone is a fake of the instances of a zone, or of several, and the network between them.
 type fakeZone struct {
 	mutex    sync.Mutex
 	sharers  map[string]*Sharer
@@ -57,12 +57,15 @@
 	return json.Unmarshal(text, into)
 }
 
-func newFakeZone(ctx context.Context, size int) *fakeZone {
+func newFakeZone(ctx context.Context, size int) *fakeZone { return newFakeZones(ctx, size, "a") }
+
+// newFakeZones distributes the instances over the zones.
+func newFakeZones(ctx context.Context, size int, zones ...fleet.ZoneID) *fakeZone {
 	z := &fakeZone{sharers: make(map[string]*Sharer), received: make(map[string][]Sighting), silent: make(map[string]bool)}
 	var instances []directory.Instance
 	for i := range size {
 		name := fmt.Sprintf("i%d", i)
-		self := directory.Instance{ID: fleet.InstanceID(name), Zone: "a", PeerAddress: name}
+		self := directory.Instance{ID: fleet.InstanceID(name), Zone: zones[i%len(zones)], PeerAddress: name}
 		instances = append(instances, self)
 		z.sharers[name] = New(Options{Self: self, Peers: z, OnSightings: func(sightings []Sighting) {
 			z.mutex.Lock()
@@ -130,6 +133,34 @@
 	}
 }
 
+// TestLimitEndReachesAllZones guards against the end of a request limit that only the zone of its finder learns of, or
+// that is lost because the hub of a third zone does not answer. Bad sends stay within the zone.
+func TestLimitEndReachesAllZones(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		z := newFakeZones(ctx, 24, "a", "b", "c")
+		time.Sleep(time.Second)
+		for _, name := range []string{"i0", "i3"} { // both in zone a
+			z.sharers[name].Enqueue(Sighting{Replica: "ended", LimitEnded: true, ObservedAt: time.Now()})
+			z.sharers[name].Enqueue(Sighting{Replica: "slow", Slowness: 6, ObservedAt: time.Now()})
+			time.Sleep(2 * minConfirmInterval)
+		}
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(z.informed("ended"), 23) // the second report is a repetition
+		is.True(z.informed("slow") <= 8)
+		for _, hub := range z.sharers["i0"].otherHubs()[:1] {
+			z.mutex.Lock()
+			z.silent[hub.PeerAddress] = true
+			z.mutex.Unlock()
+		}
+		z.sharers["i0"].Enqueue(Sighting{Replica: "ended-later", LimitEnded: true, ObservedAt: time.Now()})
+		time.Sleep(time.Second)
+		is.True(z.informed("ended-later") >= 15)
+	})
+}
+
 // TestIdleZone guards against frequent calls when there is nothing to report.
 func TestIdleZone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/sighting/sighting.go
+++ b/internal/sighting/sighting.go
@@ -13,8 +13,8 @@
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 )
 
-// Sighting is an observation of one instance: a bad send, which was slow, rejected or failed, or a zone that may be
-// unreachable.
+// Sighting is an observation of one instance: a bad send, which was slow, rejected or failed, a zone that may be
+// unreachable, or the end of a replica's request limit.
 type Sighting struct {
 	// Zone is set if no replica of that zone has answered what was sent there; the sighting then concerns no single
 	// replica.
@@ -25,6 +25,8 @@
 	StartedAt int64
 	// Slowness is the ratio of the measured to the expected time of the send; 0 for a send that was rejected or failed.
 	Slowness float64
+	// LimitEnded is set if the replica has stopped naming a request limit. The sighting is then not of a bad send.
+	LimitEnded bool
 	// ObservedAt is when the send ended, or when the instance began to suspect the zone.
 	ObservedAt time.Time
 	// From is the instance that made the observation; the hub fills it in.
@@ -47,13 +49,15 @@
 	maxConfirmInterval = time.Second
 )
 
-// Hub collects sightings in the order of their arrival. It passes on a sighting of a replica once another one confirms
-// it, and a sighting of a zone at once, because each instance that gets it probes the zone itself. Hub does no I/O and
-// is not safe for concurrent use.
+// Hub collects sightings in the order of their arrival. It passes on a bad send once another one confirms it. Sightings
+// of a zone and of the end of a request limit are passed on at once, because each instance that gets one finds out for
+// itself. Hub does no I/O and is not safe for concurrent use.
 type Hub struct {
 	sightings []positionedSighting
 	// lastBadSend is when the last bad send to a replica ended.
 	lastBadSend map[fleet.ServerID]time.Time
+	// lastLimitEnd is when the end of a replica's request limit was last passed on.
+	lastLimitEnd map[fleet.ServerID]time.Time
 	// nextPosition is the position of the next sighting. Positions increase for the lifetime of the process.
 	nextPosition uint64
 }
@@ -68,7 +72,7 @@
 func (h *Hub) Add(from fleet.InstanceID, sightings []Sighting, now time.Time) bool {
 	previous := h.nextPosition
 	for _, s := range sightings {
-		if now.Sub(s.ObservedAt) < sightingTTL && (s.Zone != "" || h.confirmed(s)) {
+		if now.Sub(s.ObservedAt) < sightingTTL && h.worthPassingOn(s) {
 			s.From = from
 			h.sightings = append(h.sightings, positionedSighting{h.nextPosition, s})
 			h.nextPosition++
@@ -77,6 +81,9 @@
 	if len(h.lastBadSend) > maxSightings {
 		h.lastBadSend = nil
 	}
+	if len(h.lastLimitEnd) > maxSightings {
+		h.lastLimitEnd = nil
+	}
 	drop := max(0, len(h.sightings)-maxSightings)
 	for drop < len(h.sightings) && now.Sub(h.sightings[drop].ObservedAt) >= sightingTTL {
 		drop++
@@ -85,6 +92,29 @@
 	return h.nextPosition > previous
 }
 
+func (h *Hub) worthPassingOn(s Sighting) bool {
+	switch {
+	case s.Zone != "":
+		return true
+	case s.LimitEnded:
+		return h.isFirstLimitEnd(s)
+	}
+	return h.confirmed(s)
+}
+
+// isFirstLimitEnd reports whether the end of the replica's request limit has not been passed on lately: all instances
+// that use a limit find its end at about the same time.
+func (h *Hub) isFirstLimitEnd(s Sighting) bool {
+	if last, known := h.lastLimitEnd[s.Replica]; known && s.ObservedAt.Sub(last) < sightingTTL {
+		return false
+	}
+	if h.lastLimitEnd == nil {
+		h.lastLimitEnd = make(map[fleet.ServerID]time.Time)
+	}
+	h.lastLimitEnd[s.Replica] = s.ObservedAt
+	return true
+}
+
 // confirmed reports whether another bad send to the replica ended within the confirmation interval before or after.
 func (h *Hub) confirmed(s Sighting) bool {
 	last, known := h.lastBadSend[s.Replica]
