ticket: give a request that ended before it started a time to come back

Cause: the runner completes a ticket whose context has ended before the execution started without one; every other refusal that says not-run has one.

Evidence: TestNotStartedHasRetryAfter fails without the change.

--- a/internal/ticket/refusal_test.go
+++ b/internal/ticket/refusal_test.go
@@ -49,3 +49,15 @@
 		})
 	}
 }
+
+// TestNotStartedHasRetryAfter guards against a request that was cancelled before it started and is refused without a
+// time to come back.
+func TestNotStartedHasRetryAfter(t *testing.T) {
+	is := is.New(t)
+	r := newRunner(t, testSettings, 1)
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	outcome := r.Run(cancelled, issue(t, r, 1)[0], DigestOf("tokens", api.Query{ID: "a"}), func(context.Context) Outcome { return Outcome{} })
+	is.Equal(verdict.Of(outcome.Err), verdict.NotRun)
+	is.True(outcome.Refusal("q").RetryAfterMillis > 0)
+}
--- a/internal/ticket/runner.go
+++ b/internal/ticket/runner.go
@@ -122,6 +122,10 @@
 	return Outcome{Err: verdict.New(verdict.MayHaveRun, contextReason(ctx), "the ticketed request is still running")}
 }
 
+// notStartedRetryAfter is the Retry-After of a request whose context ended before it started. The instance, or the path
+// to it, was slow for a moment.
+const notStartedRetryAfter = 100 * time.Millisecond
+
 // contextReason returns the reason for which a context has ended.
 func contextReason(ctx context.Context) verdict.Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -150,7 +154,7 @@
 	}
 	r.window.bind(sequence, entry, digest)
 	if ctx.Err() != nil {
-		r.window.complete(entry, Outcome{Err: verdict.New(verdict.NotRun, contextReason(ctx), "the deadline passed or the request was cancelled before it started")})
+		r.window.complete(entry, Outcome{Err: verdict.New(verdict.NotRun, contextReason(ctx), "the deadline passed or the request was cancelled before it started").WithRetryAfter(notStartedRetryAfter)})
 		return entry, entry.execution, false, nil
 	}
 	return entry, entry.execution, true, nil
