lookup: learn the send time of a route faster from the first sends

Cause: the mean starts from a guess and moves by 1/64 with each send, so that for some requests replicas five times slower than the guess seem stalled from 52 to 100 ms after each send. With a request a second and a readiness check a second, two checks in a row can fall into that time.

Change: the first sends have a weight from 1/8 down to 1/64.

--- a/internal/lookup/route_stats.go
+++ b/internal/lookup/route_stats.go
@@ -13,8 +13,10 @@
 	// before any send was measured.
 	initialShardShare  = 0.15
 	initialSingleShare = 0.3
-	// meanDivisor is the reciprocal of the weight of one send in the mean send time.
-	meanDivisor = 64
+	// meanDivisor is the reciprocal of the weight of one send in the mean send time. The first sends have a higher
+	// weight, up to 1/initialMeanDivisor, because the mean starts from a guess: while that is too low, replicas seem to
+	// be stalled.
+	meanDivisor, initialMeanDivisor = 64, 8
 	// maxMeanFactor limits one send to this multiple of the mean, so that stalls of replicas do not shift the mean.
 	maxMeanFactor = 3
 	// The estimate of the unqueued time moves by initialStep, as a share of itself, with each of the first
@@ -34,7 +36,8 @@
 // routeStats holds the measurements of one route over all replicas. It is safe for concurrent use. Concurrent updates
 // of the mean may overwrite each other, which is harmless.
 type routeStats struct {
-	mean atomic.Int64
+	mean    atomic.Int64
+	samples atomic.Int64
 	// unqueued is the time of a send that finds a free slot.
 	unqueued unqueuedEstimate
 	// memory is the account of what the requests of the route may hold together; nil if it is not limited.
@@ -61,7 +64,8 @@
 	s.unqueued.observe(now, elapsed)
 	mean := s.mean.Load()
 	measured := min(int64(elapsed), maxMeanFactor*mean)
-	s.mean.Store(max(mean+(measured-mean)/meanDivisor, int64(time.Millisecond)))
+	divisor := min(initialMeanDivisor+s.samples.Add(1)-1, meanDivisor)
+	s.mean.Store(max(mean+(measured-mean)/divisor, int64(time.Millisecond)))
 }
 
 // unqueuedEstimate estimates the time of a part that finds a free slot, as the 20th percentile of the measured times.
--- a/internal/lookup/zone_monitor_test.go
+++ b/internal/lookup/zone_monitor_test.go
@@ -161,7 +161,7 @@
 				ctx, stop := context.WithCancel(t.Context())
 				defer stop()
 				go s.engine.MonitorZones(ctx, s)
-				const lasting, step = 12 * time.Second, 50 * time.Millisecond
+				const lasting, step = 12 * time.Second, 10 * time.Millisecond
 				go s.runLoad(s.fanoutRoute, test.every, lasting)
 				var notReady []bool
 				for range lasting / step {
