--- a/internal/lookup/replica_health.go
+++ b/internal/lookup/replica_health.go
@@ -32,8 +32,6 @@
 	// a row, up to maxSuspectTime.
 	minSuspectTime = 300 * time.Millisecond
 	maxSuspectTime = 2 * time.Second
-	// coldFactor is how many times as long a cold replica takes, according to users of the project.
-	coldFactor = 1.6
 )
 
 // pendingSend is what the health of a replica keeps of a send that has no outcome yet.
@@ -246,46 +244,6 @@
 	return h.stalledLocked(now)
 }
 
-const (
-	// stallPenalty, suspectPenalty and rejectPenalty, in multiples of the expected send time, are added to the cost of
-	// a replica; rejectPenalty is first multiplied by the share of its requests that were rejected or failed. A stalled
-	// replica ranks behind any slow one, and a silent one behind that.
-	stallPenalty   = 12
-	suspectPenalty = 30
-	rejectPenalty  = 4
-	// pendingPenalty is the relative increase of the cost for each of this instance's pending requests per slot of the
-	// replica.
-	pendingPenalty = 1
-	// remotePenalty, in multiples of the expected send time, and remoteDelay are added for a replica in another
-	// availability zone: traffic between zones is billed, and each direction takes about a millisecond.
-	remotePenalty = 0.3
-	remoteDelay   = 2 * time.Millisecond
-)
-
-// cost returns the estimated cost of sending the replica a part that is expected to take the given time; lower is
-// better.
-func (h *replicaHealth) cost(now time.Time, expected time.Duration, local, cold bool, slots int) time.Duration {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	multiple := 1 + max(h.slowness.valueAt(now, slownessDecay), h.reportedSlowness.valueAt(now, slownessDecay), -0.5)
-	if cold {
-		multiple *= coldFactor
-	}
-	multiple *= 1 + pendingPenalty*float64(len(h.pending))/float64(max(slots, 1))
-	multiple += rejectPenalty * max(h.rejects.valueAt(now, rejectDecay), h.reportedRejects.valueAt(now, rejectDecay))
-	if h.stalledLocked(now) {
-		multiple += stallPenalty
-	}
-	if now.Before(h.suspectUntil) {
-		multiple += suspectPenalty
-	}
-	total := time.Duration(multiple * float64(expected))
-	if !local {
-		total += remoteDelay + time.Duration(remotePenalty*float64(expected))
-	}
-	return total
-}
-
 // usable reports whether the replica accepts another request over at most maxConnections connections, and whether it is
 // responding: neither suspected of being silent nor stalled. Unlike availability, which decides whether a shard can
 // be answered at all, responding is about the choice among the replicas of a shard.
