--- a/internal/lookup/request_limit.go
+++ b/internal/lookup/request_limit.go
@@ -39,14 +39,14 @@
 // A replica that names a request limit relies on a bound on the requests of all instances together: in any 4 s, 1.5
 // times what the limit allows, and 5 more. The instances divide the limit among themselves without asking each other.
 // Each share is a token bucket, and all buckets may be full at once. The sum stays within the bound if as many
-// instances as fit into the part of it beyond the limit itself, the users, have a bucket. With a bucket for each of 118
-// instances, their first requests after a pause alone would exceed the bound.
+// instances as fit into the part of it beyond the limit itself have a bucket: the users of the limit. With 118 full
+// buckets, the first requests after a pause alone would exceed the bound.
 const (
 	// usedShare is the part of a limit that the instances use together. The rest is for requests that arrive closer
 	// together than they were sent, and for instances that have not yet learnt of the limit.
 	usedShare = 0.9
-	// usersPerLimit and minUsers give the maximum number of users of a limit, and of the tokens in all of their buckets.
-	usersPerLimit, minUsers = 1.9, 3
+	// All buckets together hold up to tokensPerLimit times the limit and extraTokens more; there are at most as many users.
+	tokensPerLimit, extraTokens = 1.9, 3
 	// maxTokenInterval bounds the time between two tokens of a user, and with it the time in which a user finds that the
 	// limit has ended.
 	maxTokenInterval = 5 * time.Second
@@ -89,7 +89,7 @@
 func (s *instanceSet) requestShare(limit, position float64) requestShare {
 	limit = max(limit, minRequestLimit)
 	instances := float64(max(s.count, 1))
-	maxTokens := usersPerLimit*limit + minUsers
+	maxTokens := tokensPerLimit*limit + extraTokens
 	users := math.Floor(min(instances, maxTokens, max(1, limit*maxTokenInterval.Seconds())))
 	if others := instances - users; others > 0 {
 		if offset := math.Mod(float64(s.rank)-math.Floor(position*instances)+instances, instances); offset >= users {
