lookup: bound the tokens of an instance that waits to find the end of a limit

An instance that had been told of the end and then got no request, or no answer, saved up tokens without bound, and could have sent them all at once. Found by reading. TestUnusedTokensAreBounded fails without the change.

--- a/internal/lookup/request_limit.go
+++ b/internal/lookup/request_limit.go
@@ -170,9 +170,10 @@
 	share := instances.requestShare(l.perSecond, l.position)
 	l.tokens += share.perSecond * max(0, now.Sub(l.refilled).Seconds())
 	l.refilled = now
-	if !share.trial {
+	switch {
+	case !share.trial || l.hinted:
 		l.tokens = min(l.tokens, share.burst)
-	} else if l.tokens > 1+trialWindow && !l.hinted {
+	case l.tokens > 1+trialWindow:
 		l.tokens = math.Mod(l.tokens, 1)
 	}
 	return share
--- a/internal/lookup/request_limit_test.go
+++ b/internal/lookup/request_limit_test.go
@@ -254,6 +254,31 @@
 	})
 }
 
+// TestUnusedTokensAreBounded guards against tokens that pile up while nothing is sent to a replica, for a user of its
+// limit, for another instance, and for one that was told that the limit has ended.
+func TestUnusedTokensAreBounded(t *testing.T) {
+	for name, test := range map[string]struct {
+		rank   int
+		hinted bool
+	}{"user": {0, false}, "other instance": {117, false}, "told of the end": {117, true}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now, limit := time.Unix(1000, 0), 7.5
+			instances := &instanceSet{count: 118, rank: test.rank}
+			l := &requestLimit{}
+			l.record("r", instances, now, &Outcome{RequestLimit: &limit})
+			if test.hinted {
+				is.True(l.hint(instances, now))
+			}
+			for range 100 {
+				now = now.Add(time.Minute)
+				l.nextAt(instances, now)
+				is.True(l.tokens <= 1+trialWindow)
+			}
+		})
+	}
+}
+
 // TestRequestLimitsOfAllReplicas replays an index whose replicas all take less than callers ask for. It guards against
 // requests that use up the limits without reaching their floor, against refusals that come late, without a time to come
 // back or with a wrong reason, and against limits that are left unused.
