--- a/internal/lookup/request_limit.go
+++ b/internal/lookup/request_limit.go
@@ -113,7 +113,7 @@
 	tokens   float64
 	refilled time.Time
 	// hinted is set from the hint of another instance that the limit has ended until the next answer. hintsFrom is when
-	// hints are heeded again.
+	// hints are accepted again.
 	hinted    bool
 	hintsFrom time.Time
 	// since is when the replica first named a limit, logged the limit that the log last had, and sends the number of
@@ -154,7 +154,7 @@
 }
 
 // hint lets this instance send the replica a request at once, to find out whether its limit has ended as another
-// instance says. It reports whether the hint was heeded.
+// instance says. It reports whether the hint was accepted.
 func (l *requestLimit) hint(instances *instanceSet, now time.Time) bool {
 	if !l.named || l.hinted || now.Before(l.hintsFrom) {
 		return false
@@ -218,7 +218,7 @@
 }
 
 // hintLimitEnded tells the replica's limit that it has ended according to another instance, and reports whether the hint
-// was heeded.
+// was accepted.
 func (h *replicaHealth) hintLimitEnded(now time.Time) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/lookup/state_test.go
+++ b/internal/lookup/state_test.go
@@ -13,6 +13,8 @@
 // TestState guards against metrics that report another state than the one that the choice of replicas is based on.
 func TestState(t *testing.T) {
 	start := time.Unix(1000, 0)
+	limiting, limit := good(0), 5.0
+	limiting.outcome.RequestLimit = &limit
 	answer := func(h *replicaHealth, elapsed time.Duration, outcome Outcome) {
 		h.endSend(h.beginSend(start, work, FirstSend), start.Add(elapsed), &outcome)
 	}
@@ -37,6 +39,15 @@
 			answer(h, 0, Outcome{Verdict: verdict.NotRun, Reason: verdict.ConnectFailed, Unsent: true})
 			answer(h, work, good(0).outcome)
 		}, work, false, Healthy},
+		"names a limit": {func(h *replicaHealth) { answer(h, work, limiting.outcome) }, work, false, Limited},
+		"limit ended": {func(h *replicaHealth) {
+			answer(h, work, limiting.outcome)
+			answer(h, work, good(0).outcome)
+		}, work, false, Healthy},
+		"bad answer without a limit": {func(h *replicaHealth) {
+			answer(h, work, limiting.outcome)
+			answer(h, work, Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.BadAnswer, Status: 200})
+		}, work, false, Limited},
 		"other process": {func(h *replicaHealth) {
 			answer(h, 0, Outcome{Verdict: verdict.NotRun, Reason: verdict.Misdirected, Status: 421})
 		}, time.Minute, false, Misdirected},
