follow, platform: log the era of the store and what a list contains

The logs did not show whether a configuration was read and ignored, or never read. No change of logic.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -247,6 +247,7 @@
 	}
 	f.storeAnswered(time.Now())
 	f.synced = true
+	klog.InfoS("Store listed", "revision", revision, "former", f.revision(), "entries", len(changes))
 	f.apply(changes, true, revision, 0)
 	f.fetchDepartures(ctx)
 	return nil
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -126,8 +126,13 @@
 	return named
 }
 
-// Version returns the operators' version number of the configuration.
-func (t *Table) Version() uint64 { return t.version }
+// Version returns the operators' version number of the configuration; 0 for a nil table.
+func (t *Table) Version() uint64 {
+	if t == nil {
+		return 0
+	}
+	return t.version
+}
 
 // Limits returns the limits on what callers may send.
 func (t *Table) Limits() Limits { return t.limits }
