follow: failing test of a configuration written after a restore

After the restore the store gives out known revisions again. The follower keeps the highest revision that it has seen, so its watch skips the configuration.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -37,6 +37,7 @@
 	withholdChanges bool
 	calls           int
 	lists           int
+	noHeartbeats    bool
 }
 
 func newFakeStore() *fakeStore {
@@ -76,7 +77,7 @@
 	switch {
 	case s.down:
 		return nil, 0, false, errDown
-	case after < s.compactedTo:
+	case after < s.compactedTo, after > s.revision:
 		return nil, 0, false, ErrHistoryGone
 	case s.withholdChanges:
 		return nil, s.revision, false, nil
@@ -108,6 +109,11 @@
 func (s *fakeStore) write(change directory.Change) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.add(change)
+}
+
+// add applies a change under the next revision. The caller holds the mutex.
+func (s *fakeStore) add(change directory.Change) {
 	s.revision++
 	s.events = append(s.events, journalEntry{s.revision, change})
 	switch {
@@ -132,6 +138,9 @@
 	return s.calls, s.lists
 }
 
+// stopHeartbeats makes r1 send no further heartbeats, so that only the test writes.
+func (s *fakeStore) stopHeartbeats() { s.set(func() { s.noHeartbeats = true }) }
+
 func replica(id fleet.ServerID) directory.Change {
 	return directory.Change{ReplicaID: id, RegisteredReplica: &directory.Replica{ID: id, Service: "s", Zone: "a", Address: "x", Slots: 1}}
 }
@@ -270,9 +279,9 @@
 		time.Sleep(300 * time.Millisecond)
 		s.mutex.Lock()
 		registered, ok := s.present["r1"]
-		down := s.down
+		silent := s.down || s.noHeartbeats
 		s.mutex.Unlock()
-		if ok && !down {
+		if ok && !silent {
 			s.write(registered)
 		}
 	}
