follow: positions in the store's history carry its era

Cause: a restored store gives out the revisions after the copy again. The follower kept the highest revision, so that its watch skipped every change at a revision that it had seen before the restore. The class of fault: a counter of an outside system is taken for unique although it can go back.

Evidence: the log shows version 13 confirmed at revision 62, which had been version 11 in the era before, and no answer with a configuration afterwards.

Change: a position is an era and a revision. An answer of another era is followed by a list, one of a former era is an error. A list sets the position also if that goes back. Instances exchange eras; one that is an era behind gets the full state and is not used as a source. Registrations of live replicas that the copy lacks are kept for the grace period. A store that names no era is taken for restored if its revision goes back.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -96,8 +96,9 @@
 	// the latter lost their registration.
 	instances         map[fleet.InstanceID]Instance
 	unregisteredSince map[fleet.InstanceID]time.Time
-	// storeRestoredAt is when the store answered again after the last outage.
-	storeRestoredAt time.Time
+	// registrationsLostAt is when the store answered again after the last outage or restore in which registrations of
+	// live replicas may have been lost.
+	registrationsLostAt time.Time
 }
 
 // New returns an empty directory.
@@ -119,8 +120,12 @@
 // Table returns the configuration in force; nil if none is known.
 func (d *Directory) Table() *routing.Table { return d.table }
 
-// StoreRestored records that the store answers again after an outage in which registrations may have expired.
-func (d *Directory) StoreRestored(now time.Time) { d.storeRestoredAt = now }
+// StoreRecovered records that the store answers again after an outage in which registrations may have expired.
+func (d *Directory) StoreRecovered(now time.Time) { d.registrationsLostAt = now }
+
+// StoreRestored records that the store has been restored from a copy and has lost its latest changes, so that entries of
+// live replicas are missing until they are written again.
+func (d *Directory) StoreRestored(now time.Time) { d.registrationsLostAt = now }
 
 // Apply applies changes, which come in the order of their revisions, and returns those that had an effect. Most changes
 // are heartbeats, which have none.
@@ -227,14 +232,14 @@
 	return r == other && apart < warmUpTolerance
 }
 
-// remove removes a replica, or keeps it until change.RemoveAt if its registration may have expired only because the
-// store was unreachable. It sets change.RemoveAt where needed, so that peers keep the replica for the same time. It
+// remove removes a replica, or keeps it until change.RemoveAt if its registration may be missing only because of a fault
+// of the store. It sets change.RemoveAt where needed, so that peers keep the replica for the same time. It
 // reports whether the replica was known.
 func (d *Directory) remove(change *Change, now time.Time) bool {
 	if _, known := d.replicas[change.ReplicaID]; !known {
 		return false
 	}
-	if until := d.storeRestoredAt.Add(expiryGracePeriod); change.RemoveAt.IsZero() && now.Before(until) {
+	if until := d.registrationsLostAt.Add(expiryGracePeriod); change.RemoveAt.IsZero() && now.Before(until) {
 		change.RemoveAt = until
 	}
 	if now.Before(change.RemoveAt) {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -76,7 +76,7 @@
 	is := is.New(t)
 	d, now := New(), time.Now()
 	d.Apply([]Change{listed("a"), listed("b")}, now)
-	d.StoreRestored(now)
+	d.StoreRecovered(now)
 	d.Replace(nil, now)
 	is.Equal(usableIDs(d.View()), []fleet.ServerID{"a", "b"})
 	back := newReplica("a")
--- a/internal/follow/departures.go
+++ b/internal/follow/departures.go
@@ -62,7 +62,7 @@
 	klog.InfoS("Departures applied", "replicas", len(departures), "altered", changed)
 	if changed {
 		j.discardEntries() // the entries that peers were sent no longer lead to the present state
-		f.publishView(j.revision)
+		f.publishView()
 	}
 }
 
--- a/internal/follow/departures_test.go
+++ b/internal/follow/departures_test.go
@@ -74,7 +74,7 @@
 	remaining atomic.Int32
 }
 
-func (p *panicking) Changes(ctx context.Context, after uint64, wait time.Duration) ([]directory.Change, uint64, bool, error) {
+func (p *panicking) Changes(ctx context.Context, after uint64, wait time.Duration) ([]directory.Change, Position, bool, error) {
 	if p.remaining.Add(-1) >= 0 {
 		panic("decoder fault")
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"github.com/medlarlatch/medlarlatch/internal/directory"
@@ -25,18 +26,18 @@
 
 // Source reads the store.
 type Source interface {
-	// List returns everything in the store and the revision after which Changes continues.
-	List(ctx context.Context) ([]directory.Change, uint64, error)
-	// Changes returns what changed after a revision and the revision after which to continue. It waits up to wait for
+	// List returns everything in the store and the position after which Changes continues.
+	List(ctx context.Context) ([]directory.Change, Position, error)
+	// Changes returns what changed after a revision and the position after which to continue. It waits up to wait for
 	// the first change. more is set if the answer was cut off at its size limit, so that further changes can be
-	// requested at once.
-	Changes(ctx context.Context, after uint64, wait time.Duration) (changes []directory.Change, revision uint64, more bool, err error)
+	// requested at once. The changes are worthless if the position is of another era than the revision.
+	Changes(ctx context.Context, after uint64, wait time.Duration) (changes []directory.Change, position Position, more bool, err error)
 }
 
 // Peers calls other instances.
 type Peers interface {
-	// FetchUpdate returns what changed at the peer after a revision. The peer waits up to wait for the first change.
-	FetchUpdate(ctx context.Context, address string, after uint64, wait time.Duration) (Update, error)
+	// FetchUpdate returns what changed at the peer after a position. The peer waits up to wait for the first change.
+	FetchUpdate(ctx context.Context, address string, after Position, wait time.Duration) (Update, error)
 	// FetchDepartures returns the replicas that the peer knows to be draining or removed.
 	FetchDepartures(ctx context.Context, address string) ([]directory.Departure, error)
 }
@@ -90,7 +91,7 @@
 	journal *journal
 	// Only Run uses the fields below.
 
-	// synced is set while the journal's revision can be used to request changes, so that the store need not be listed
+	// synced is set while the journal's position can be used to request changes, so that the store need not be listed
 	// first.
 	synced   bool
 	failures int
@@ -111,9 +112,9 @@
 	return &Follower{Options: options, journal: newJournal(), skipUntil: make(map[fleet.InstanceID]time.Time), peerStoreContact: make(map[fleet.InstanceID]time.Time)}
 }
 
-// UpdateSince returns what a peer that knows the state at a revision does not have yet; it waits up to wait for the
+// UpdateSince returns what a peer that knows the state at a position does not have yet; it waits up to wait for the
 // first change. It is safe for concurrent use.
-func (f *Follower) UpdateSince(ctx context.Context, after uint64, wait time.Duration) Update {
+func (f *Follower) UpdateSince(ctx context.Context, after Position, wait time.Duration) Update {
 	return f.journal.waitForUpdate(ctx, after, min(wait, maxWait))
 }
 
@@ -147,7 +148,7 @@
 	f.journal.mutex.Lock()
 	defer f.journal.mutex.Unlock()
 	if f.expireRegistrations(time.Now()) {
-		f.publishView(f.journal.revision)
+		f.publishView()
 	}
 }
 
@@ -210,79 +211,114 @@
 	if !f.synced {
 		return false, f.listStore(ctx)
 	}
-	revision := f.revision()
+	known := f.position()
 	callCtx, cancel := context.WithTimeout(ctx, maxWait+storeTimeout)
 	defer cancel()
-	changes, next, more, err := f.Source.Changes(callCtx, revision, maxWait)
+	changes, next, more, err := f.Source.Changes(callCtx, known.Revision, maxWait)
 	if errors.Is(err, ErrHistoryGone) {
-		klog.InfoS("Store dropped the history, listing again", "revision", revision)
+		klog.InfoS("Store dropped the history, listing again", "revision", known.Revision)
 		return false, f.listStore(ctx)
 	}
 	if err != nil {
 		return false, err
 	}
-	now := time.Now()
-	f.storeAnswered(now)
+	if err := formerEraError(next, known); err != nil {
+		return false, err
+	}
+	if next.Era != known.Era {
+		klog.InfoS("Changes are of another history, listing again", "revision", known.Revision, "era", known.Era, "at", next.Revision, "at-era", next.Era)
+		return false, f.listStore(ctx)
+	}
+	f.storeAnswered(time.Now())
 	if len(changes) == 0 {
 		// The position stays as it is, so that changes that the store withheld are requested again unless their history
 		// is gone.
-		if next > revision {
-			klog.InfoS("Store withheld changes, listing again", "revision", revision, "at", next)
+		if next.Revision > known.Revision {
+			klog.InfoS("Store withheld changes, listing again", "revision", known.Revision, "at", next.Revision)
 			return false, f.listStore(ctx)
 		}
-		f.apply(nil, false, revision, 0)
+		f.apply(nil, false, known, 0)
 		return false, nil
 	}
 	f.apply(changes, false, next, 0)
 	return more, nil
 }
 
+// formerEraError returns an error if the answer of the store is from an era before the known one. An answer that does
+// not name its era cannot be told to be older.
+func formerEraError(answer, known Position) error {
+	if answer.Era != 0 && answer.Era < known.Era {
+		return eris.Errorf("store answered from the former era %d; the latest known one is %d", answer.Era, known.Era)
+	}
+	return nil
+}
+
 func (f *Follower) listStore(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	changes, revision, err := f.Source.List(callCtx)
+	changes, listed, err := f.Source.List(callCtx)
+	known := f.position()
+	if err == nil {
+		err = formerEraError(listed, known)
+	}
 	if err != nil {
 		f.synced = false
 		return err
 	}
 	f.storeAnswered(time.Now())
 	f.synced = true
-	klog.InfoS("Store listed", "revision", revision, "former", f.revision(), "entries", len(changes))
-	f.apply(changes, true, revision, 0)
+	klog.InfoS("Store listed", "revision", listed.Revision, "era", listed.Era, "former", known.Revision, "entries", len(changes))
+	// Without an era, only a revision that went back tells that the store was restored.
+	listed.Era = max(listed.Era, known.Era)
+	f.apply(changes, true, listed, 0)
 	f.fetchDepartures(ctx)
 	return nil
 }
 
-func (f *Follower) revision() uint64 {
+func (f *Follower) position() Position {
 	f.journal.mutex.Lock()
 	defer f.journal.mutex.Unlock()
-	return f.journal.revision
+	return f.journal.position
+}
+
+// storeRestored records that the store has been restored from a copy, if the full state at the position shows so. The
+// caller holds the journal's mutex.
+func (f *Follower) storeRestored(at Position, now time.Time) {
+	known := f.journal.position
+	if known.Revision == 0 || at.Era == known.Era && at.Revision >= known.Revision {
+		return
+	}
+	klog.InfoS("Store restored from a copy", "era", at.Era, "former", known.Era, "revision", at.Revision, "former-revision", known.Revision)
+	f.journal.state.StoreRestored(now)
 }
 
 // apply applies changes to the directory and publishes the view if it changed. full says that the changes are a full
 // list; age is how long ago they were current in the store.
-func (f *Follower) apply(changes []directory.Change, full bool, revision uint64, age time.Duration) {
+func (f *Follower) apply(changes []directory.Change, full bool, position Position, age time.Duration) {
 	now := time.Now()
 	j := f.journal
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
 	var effective []directory.Change
 	if full {
+		f.storeRestored(position, now)
 		effective = j.state.Replace(changes, now)
 	} else {
 		effective = j.state.Apply(changes, now)
 	}
 	expired := f.expireRegistrations(now)
-	j.revision = max(j.revision, revision)
+	if full || j.position.Before(position) {
+		j.position = position
+	}
 	if contact := now.Add(-age); contact.After(j.lastStoreContact) {
 		j.lastStoreContact = contact
 	}
-	j.record(effective, j.revision)
+	j.record(effective, j.position.Revision)
 	if full {
 		j.discardEntries()
 	}
 	if len(effective) > 0 || expired {
-		f.publishView(revision)
+		f.publishView()
 	}
 }
 
@@ -292,19 +328,19 @@
 	before := f.journal.state.ReplicaCount()
 	expired := f.journal.state.Expire(now)
 	if removed := before - f.journal.state.ReplicaCount(); removed > 0 {
-		klog.InfoS("Expired registrations removed", "entries", removed, "revision", f.journal.revision)
+		klog.InfoS("Expired registrations removed", "entries", removed, "revision", f.journal.position.Revision)
 	}
 	return expired
 }
 
 // publishView publishes the current view. The caller holds the journal's mutex.
-func (f *Follower) publishView(revision uint64) {
+func (f *Follower) publishView() {
 	j := f.journal
 	if !j.state.Ready() {
 		return
 	}
 	view := j.state.View()
-	klog.InfoS("View changed", "version", view.Table.Version(), "revision", revision, "replicas", j.state.ReplicaCount(),
+	klog.InfoS("View changed", "version", view.Table.Version(), "revision", j.position.Revision, "replicas", j.state.ReplicaCount(),
 		"services", len(view.Replicas), "zones-out", view.ZonesOutOfService, "instances", len(view.Instances), "source", f.polledInstance)
 	f.OnViewChanged(view)
 }
@@ -317,7 +353,7 @@
 		f.journal.mutex.Lock()
 		sinceContact := now.Sub(f.journal.lastStoreContact)
 		if sinceContact > f.RegistrationTTL-expiryMargin {
-			f.journal.state.StoreRestored(now)
+			f.journal.state.StoreRecovered(now)
 		}
 		f.journal.mutex.Unlock()
 		klog.InfoS("Store answers again", "failures", f.failures, "outage", now.Sub(f.lastStoreAnswer), "unheard-by-all", sinceContact)
@@ -332,7 +368,7 @@
 		return
 	}
 	if f.failures == 0 {
-		klog.InfoS("Store stopped answering", "err", err, "revision", f.revision())
+		klog.InfoS("Store stopped answering", "err", err, "revision", f.position().Revision)
 	}
 	f.failures++
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -31,6 +31,7 @@
 	present         map[fleet.ServerID]directory.Change
 	others          []directory.Change
 	revision        uint64
+	era             uint64 // 0 for a store that does not name it
 	compactedTo     uint64 // the history begins after this revision
 	pageSize        int
 	down            bool
@@ -41,57 +42,56 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{present: make(map[fleet.ServerID]directory.Change), pageSize: 500}
+	return &fakeStore{present: make(map[fleet.ServerID]directory.Change), pageSize: 500, era: 1}
 }
 
-func (s *fakeStore) List(context.Context) ([]directory.Change, uint64, error) {
+func (s *fakeStore) List(context.Context) ([]directory.Change, Position, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.calls++
 	if s.down {
-		return nil, 0, errDown
+		return nil, Position{}, errDown
 	}
 	s.lists++
 	all := append([]directory.Change(nil), s.others...)
 	for _, change := range s.present {
 		all = append(all, change)
 	}
-	return all, s.revision, nil
+	return all, Position{s.era, s.revision}, nil
 }
 
-func (s *fakeStore) Changes(ctx context.Context, after uint64, wait time.Duration) ([]directory.Change, uint64, bool, error) {
+func (s *fakeStore) Changes(ctx context.Context, after uint64, wait time.Duration) ([]directory.Change, Position, bool, error) {
 	s.mutex.Lock()
 	s.calls++
 	s.mutex.Unlock()
 	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
-		changes, revision, more, err := s.changesAfter(after)
+		changes, position, more, err := s.changesAfter(after)
 		if err != nil || len(changes) > 0 || !time.Now().Before(end) || ctx.Err() != nil {
-			return changes, revision, more, err
+			return changes, position, more, err
 		}
 	}
 }
 
-func (s *fakeStore) changesAfter(after uint64) (changes []directory.Change, revision uint64, more bool, err error) {
+func (s *fakeStore) changesAfter(after uint64) (changes []directory.Change, position Position, more bool, err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	switch {
 	case s.down:
-		return nil, 0, false, errDown
+		return nil, Position{}, false, errDown
 	case after < s.compactedTo, after > s.revision:
-		return nil, 0, false, ErrHistoryGone
+		return nil, Position{}, false, ErrHistoryGone
 	case s.withholdChanges:
-		return nil, s.revision, false, nil
+		return nil, Position{s.era, s.revision}, false, nil
 	}
-	revision = s.revision
 	for _, e := range s.events {
 		if e.revision > after {
 			if len(changes) == s.pageSize {
-				return changes, lastOfPage(s.events, after, s.pageSize), true, nil
+				return changes, Position{s.era, lastOfPage(s.events, after, s.pageSize)}, true, nil
 			}
 			changes = append(changes, e.change)
 		}
 	}
-	return changes, revision, false, nil
+	return changes, Position{s.era, s.revision}, false, nil
 }
 
 // lastOfPage returns the revision of the last event of a full page that starts after a revision.
@@ -163,16 +163,16 @@
 	disconnected atomic.Bool
 }
 
-func (l *storeLink) List(ctx context.Context) ([]directory.Change, uint64, error) {
+func (l *storeLink) List(ctx context.Context) ([]directory.Change, Position, error) {
 	if l.disconnected.Load() {
-		return nil, 0, errDown
+		return nil, Position{}, errDown
 	}
 	return l.fakeStore.List(ctx)
 }
 
-func (l *storeLink) Changes(ctx context.Context, after uint64, wait time.Duration) ([]directory.Change, uint64, bool, error) {
+func (l *storeLink) Changes(ctx context.Context, after uint64, wait time.Duration) ([]directory.Change, Position, bool, error) {
 	if l.disconnected.Load() {
-		return nil, 0, false, errDown
+		return nil, Position{}, false, errDown
 	}
 	return l.fakeStore.Changes(ctx, after, wait)
 }
@@ -186,7 +186,7 @@
 	links   map[fleet.InstanceID]*storeLink
 }
 
-func (i *fakeInstances) FetchUpdate(ctx context.Context, address string, after uint64, wait time.Duration) (Update, error) {
+func (i *fakeInstances) FetchUpdate(ctx context.Context, address string, after Position, wait time.Duration) (Update, error) {
 	i.mutex.Lock()
 	peer, silent := i.running[fleet.InstanceID(address)], i.silent[fleet.InstanceID(address)]
 	i.mutex.Unlock()
@@ -246,6 +246,12 @@
 // runInstances runs a test with one instance of each name in zone a, and a store with five replicas. r1 sends
 // heartbeats.
 func runInstances(t *testing.T, names []fleet.InstanceID, test func(is *is.I, s *fakeStore, i *fakeInstances)) {
+	t.Helper()
+	runInstancesOn(t, newFakeStore(), names, test)
+}
+
+// runInstancesOn is runInstances with a store that is empty.
+func runInstancesOn(t *testing.T, s *fakeStore, names []fleet.InstanceID, test func(is *is.I, s *fakeStore, i *fakeInstances)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
@@ -253,7 +259,6 @@
 			stop()
 			time.Sleep(10 * time.Second)
 		}()
-		s := newFakeStore()
 		i := &fakeInstances{
 			running: make(map[fleet.InstanceID]*Follower), views: make(map[fleet.InstanceID]*directory.View),
 			silent: make(map[fleet.InstanceID]bool), links: make(map[fleet.InstanceID]*storeLink),
--- a/internal/follow/journal.go
+++ b/internal/follow/journal.go
@@ -15,8 +15,8 @@
 
 // Update is what one instance sends another.
 type Update struct {
-	// Revision is the store's revision up to which the update is complete.
-	Revision uint64
+	// Position is the position in the store's history up to which the update is complete.
+	Position Position
 	// Age is how long ago the sender last had contact with the store, directly or through peers.
 	Age time.Duration
 	// Full is set if Changes is the full state instead of what changed.
@@ -29,9 +29,10 @@
 	mutex   sync.Mutex
 	state   *directory.Directory
 	entries []journalEntry
-	// completeAfter is the revision after which entries are complete; revision is the latest known revision of the
-	// store.
-	completeAfter, revision uint64
+	// position is the latest known position in the store's history. The entries are of its era and complete after the
+	// revision completeAfter.
+	position      Position
+	completeAfter uint64
 	// lastStoreContact is when the state was last confirmed by the store, directly or through peers.
 	lastStoreContact time.Time
 	// changed is closed and replaced at each change.
@@ -68,12 +69,12 @@
 // the previous revision are not known, so a peer at a revision in between needs the full state. The caller holds the
 // mutex.
 func (j *journal) discardEntries() {
-	j.completeAfter, j.entries = j.revision, nil
+	j.completeAfter, j.entries = j.position.Revision, nil
 }
 
-// waitForUpdate returns what a peer at the revision does not have, and waits up to wait for the first change. It is
+// waitForUpdate returns what a peer at the position does not have, and waits up to wait for the first change. It is
 // safe for concurrent use.
-func (j *journal) waitForUpdate(ctx context.Context, after uint64, wait time.Duration) Update {
+func (j *journal) waitForUpdate(ctx context.Context, after Position, wait time.Duration) Update {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for done := false; ; {
@@ -94,16 +95,20 @@
 	}
 }
 
-// updateSince returns what a peer at the revision does not have. The caller holds the mutex.
-func (j *journal) updateSince(after uint64, now time.Time) Update {
-	update := Update{Revision: j.revision, Age: now.Sub(j.lastStoreContact)}
+// updateSince returns what a peer at the position does not have. A peer that does not name its era is an instance of an
+// earlier build, or one that knows nothing of the store. The caller holds the mutex.
+func (j *journal) updateSince(after Position, now time.Time) Update {
+	update := Update{Position: j.position, Age: now.Sub(j.lastStoreContact)}
 	// A peer that is ahead gets no changes: the state here would set it back.
-	if after < j.completeAfter {
+	if after.Era > j.position.Era {
+		return update
+	}
+	if after.Era != 0 && after.Era < j.position.Era || after.Revision < j.completeAfter {
 		update.Full = true
 		update.Changes = j.state.Snapshot()
 		return update
 	}
-	first := sort.Search(len(j.entries), func(i int) bool { return j.entries[i].revision > after })
+	first := sort.Search(len(j.entries), func(i int) bool { return j.entries[i].revision > after.Revision })
 	for _, e := range j.entries[first:] {
 		update.Changes = append(update.Changes, e.change)
 	}
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -19,11 +19,13 @@
 
 type updateRequest struct {
 	After      uint64 `json:"after"`
+	Era        uint64 `json:"era,omitempty"`
 	WaitMillis int64  `json:"wait-millis"`
 }
 
 type updateMessage struct {
 	Revision  uint64          `json:"revision"`
+	Era       uint64          `json:"era,omitempty"`
 	AgeMillis int64           `json:"age-millis"`
 	Full      bool            `json:"whole,omitempty"`
 	Changes   []changeMessage `json:"changes,omitempty"`
@@ -40,7 +42,7 @@
 	InstanceID         fleet.InstanceID    `json:"instance,omitempty"`
 	RegisteredInstance *directory.Instance `json:"registered,omitempty"`
 	Deleted            bool                `json:"gone,omitempty"`
-	// RemoveInMillis is the time until a replica whose entry was deleted is removed.
+	// RemoveInMillis is the time until the change takes effect, if the deletion may be due to a fault of the store.
 	RemoveInMillis int64 `json:"lapses-millis,omitempty"`
 }
 
@@ -53,7 +55,7 @@
 
 // encode converts an update into a message; times become durations from now.
 func encode(update Update, now time.Time) updateMessage {
-	message := updateMessage{Revision: update.Revision, AgeMillis: update.Age.Milliseconds(), Full: update.Full}
+	message := updateMessage{Revision: update.Position.Revision, Era: update.Position.Era, AgeMillis: update.Age.Milliseconds(), Full: update.Full}
 	for _, change := range update.Changes {
 		encoded := changeMessage{
 			ReplicaID: change.ReplicaID, Zone: change.Zone, InstanceID: change.InstanceID, RegisteredInstance: change.RegisteredInstance, Deleted: change.Deleted,
@@ -78,7 +80,7 @@
 // decode converts a message into an update. Routes continue the weighted distribution of the previous table, which may
 // be nil.
 func (m *updateMessage) decode(previous *routing.Table, now time.Time) (Update, error) {
-	update := Update{Revision: m.Revision, Age: time.Duration(m.AgeMillis) * time.Millisecond, Full: m.Full}
+	update := Update{Position: Position{Era: m.Era, Revision: m.Revision}, Age: time.Duration(m.AgeMillis) * time.Millisecond, Full: m.Full}
 	for _, encoded := range m.Changes {
 		change := directory.Change{
 			ReplicaID: encoded.ReplicaID, RegisteredReplica: encoded.RegisteredReplica, Zone: encoded.Zone, InstanceID: encoded.InstanceID,
@@ -115,9 +117,9 @@
 }
 
 // FetchUpdate implements Peers.
-func (c *Client) FetchUpdate(ctx context.Context, address string, after uint64, wait time.Duration) (Update, error) {
+func (c *Client) FetchUpdate(ctx context.Context, address string, after Position, wait time.Duration) (Update, error) {
 	var message updateMessage
-	if err := c.rpcClient.Call(ctx, address, UpdateMethod, updateRequest{after, wait.Milliseconds()}, &message); err != nil {
+	if err := c.rpcClient.Call(ctx, address, UpdateMethod, updateRequest{After: after.Revision, Era: after.Era, WaitMillis: wait.Milliseconds()}, &message); err != nil {
 		return Update{}, err
 	}
 	return message.decode(c.CurrentTable(), time.Now())
@@ -130,5 +132,5 @@
 		return nil, err
 	}
 	wait := time.Duration(min(max(request.WaitMillis, 0), maxWait.Milliseconds())) * time.Millisecond
-	return encode(f.UpdateSince(ctx, request.After, wait), time.Now()), nil
+	return encode(f.UpdateSince(ctx, Position{Era: request.Era, Revision: request.After}, wait), time.Now()), nil
 }
--- a/internal/follow/peers_test.go
+++ b/internal/follow/peers_test.go
@@ -30,7 +30,7 @@
 	}, []routing.Service{{ID: "s1", MaxConnections: 26, WarmUp: 3 * time.Second, ColdRate: 4}},
 		routing.Limits{MaxHeaderBytes: 1, MaxBodyBytes: 2, HeaderTimeout: 3, IdleTimeout: 4}, nil)
 	cold := &directory.Replica{ID: "r", Service: "s1", Zone: "z", Address: "10.0.0.1:80", Slots: 3, Draining: true, StartedAt: 5, ColdUntil: now.Add(2 * time.Second)}
-	update := Update{Revision: 9, Age: 20 * time.Millisecond, Full: true, Changes: []directory.Change{
+	update := Update{Position: Position{Era: 2, Revision: 9}, Age: 20 * time.Millisecond, Full: true, Changes: []directory.Change{
 		{Table: table},
 		{ReplicaID: "r", RegisteredReplica: cold},
 		{ReplicaID: "q", Deleted: true},
@@ -43,7 +43,7 @@
 	is.NoErr(json.Unmarshal(text, &message))
 	again, err := message.decode(nil, now)
 	is.NoErr(err)
-	is.Equal(again.Revision, update.Revision)
+	is.Equal(again.Position, update.Position)
 	is.Equal(again.Age, update.Age)
 	is.Equal(again.Full, update.Full)
 	is.Equal(again.Changes[1:], update.Changes[1:])
@@ -61,27 +61,27 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	f := New(Options{Random: rand.New(rand.NewPCG(1, 1)), OnViewChanged: func(*directory.View) {}})
-	f.apply([]directory.Change{configuration(3), replica("r1")}, true, 11, 0)
+	f.apply([]directory.Change{configuration(3), replica("r1")}, true, Position{1, 11}, 0)
 	ended := make(chan error, 1)
 	server := peerrpc.NewServer(map[string]peerrpc.Handler{UpdateMethod: f.AnswerUpdate})
 	go func() { ended <- server.Serve(t.Context(), listener) }()
 	rpcClient := peerrpc.NewClient()
 	client := NewClient(rpcClient, func() *routing.Table { return nil })
-	update, err := client.FetchUpdate(t.Context(), listener.Addr().String(), 0, 0)
+	update, err := client.FetchUpdate(t.Context(), listener.Addr().String(), Position{}, 0)
 	is.NoErr(err)
 	is.True(update.Full)
-	is.Equal(update.Revision, uint64(11))
+	is.Equal(update.Position, Position{1, 11})
 	is.Equal(len(update.Changes), 2)
 	is.Equal(update.Changes[0].Table.Version(), uint64(3))
 
-	go f.apply([]directory.Change{removedReplica("r1")}, false, 12, 0)
-	update, err = client.FetchUpdate(t.Context(), listener.Addr().String(), 11, 5*time.Second)
+	go f.apply([]directory.Change{removedReplica("r1")}, false, Position{1, 12}, 0)
+	update, err = client.FetchUpdate(t.Context(), listener.Addr().String(), Position{1, 11}, 5*time.Second)
 	is.NoErr(err)
 	is.Equal(update.Changes, []directory.Change{removedReplica("r1")})
 
 	callCtx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
-	_, err = client.FetchUpdate(callCtx, listener.Addr().String(), 12, 5*time.Second)
+	_, err = client.FetchUpdate(callCtx, listener.Addr().String(), Position{1, 12}, 5*time.Second)
 	is.True(err != nil)
 	is.Equal(rpcClient.Connections(), 0)
 	is.NoErr(listener.Close())
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -16,7 +16,7 @@
 
 // remoteReader returns the peer that this instance polls; false if it polls the store itself.
 func (f *Follower) remoteReader(now time.Time) (directory.Instance, bool) {
-	if !f.synced && f.revision() == 0 {
+	if !f.synced && f.position().Revision == 0 {
 		return directory.Instance{}, false
 	}
 	found, ok := directory.SelectInstance(readerRole, f.Self.Zone, f.registeredInstances(), func(id fleet.InstanceID) bool { return now.Before(f.skipUntil[id]) })
@@ -36,12 +36,13 @@
 	wait := f.peerWait(peer.ID, time.Now())
 	callCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
 	defer cancel()
-	after := f.revision()
+	after := f.position()
 	update, err := f.Peers.FetchUpdate(callCtx, peer.PeerAddress, after, wait)
 	f.peerStoreContact[peer.ID] = time.Now().Add(-update.Age)
-	if err != nil || update.Age > f.maxPeerAge() || update.Revision < after {
+	if err != nil || update.Age > f.maxPeerAge() || !update.appliesTo(after) {
 		if ctx.Err() == nil {
-			klog.InfoS("Peer skipped", "instance", peer.ID, "age", update.Age, "revision", update.Revision, "own", after, "err", err)
+			klog.InfoS("Peer skipped", "instance", peer.ID, "age", update.Age, "revision", update.Position.Revision, "era", update.Position.Era,
+				"own", after.Revision, "own-era", after.Era, "err", err)
 			f.skipUntil[peer.ID] = time.Now().Add(peerRetryInterval)
 		}
 		return false
@@ -60,10 +61,16 @@
 // its longest wait for changes, plus peerAgeMargin.
 func (f *Follower) maxPeerAge() time.Duration { return f.PollInterval + maxWait + peerAgeMargin }
 
+// appliesTo reports whether an instance at the position may apply the update: it sets the instance back neither in the
+// store's history nor in its era, and changes continue the same history.
+func (u *Update) appliesTo(known Position) bool {
+	return !u.Position.Before(known) && (u.Full || u.Position.Era == known.Era)
+}
+
 // applyUpdate applies the update of a peer.
 func (f *Follower) applyUpdate(update Update) {
-	f.apply(update.Changes, update.Full, update.Revision, update.Age)
-	// The revision is now the peer's, after which changes can be requested from the store as well.
+	f.apply(update.Changes, update.Full, update.Position, update.Age)
+	// The position is now the peer's, after which changes can be requested from the store as well.
 	f.synced = true
 }
 
@@ -78,12 +85,12 @@
 	peer := others[f.Random.IntN(len(others))]
 	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	update, err := f.Peers.FetchUpdate(callCtx, peer.PeerAddress, f.revision(), 0)
-	if err != nil || update.Revision == 0 { // the peer has no state itself
+	update, err := f.Peers.FetchUpdate(callCtx, peer.PeerAddress, f.position(), 0)
+	if err != nil || update.Position.Revision == 0 { // the peer has no state itself
 		f.skipUntil[peer.ID] = now.Add(peerRetryInterval)
 		return
 	}
-	if update.Revision >= f.revision() {
+	if update.appliesTo(f.position()) {
 		f.applyUpdate(update) // even without changes it carries the time of the last contact with the store
 	}
 }
--- a/internal/follow/source_test.go
+++ b/internal/follow/source_test.go
@@ -71,7 +71,7 @@
 	runInstances(t, []fleet.InstanceID{"i1", "i2"}, func(is *is.I, s *fakeStore, i *fakeInstances) {
 		time.Sleep(2 * time.Second)
 		peer := New(Options{Random: rand.New(rand.NewPCG(1, 1)), OnViewChanged: func(*directory.View) {}})
-		peer.apply([]directory.Change{configuration(1), replica("r1"), replica("r2"), replica("old")}, true, 3, 0)
+		peer.apply([]directory.Change{configuration(1), replica("r1"), replica("r2"), replica("old")}, true, Position{1, 3}, 0)
 		behind := directory.Instance{ID: "behind", Zone: "a", PeerAddress: "behind"}
 		i.mutex.Lock()
 		i.running["behind"] = peer
@@ -114,12 +114,12 @@
 	}
 	reader, other := newFollower(), newFollower()
 	listed := []directory.Change{configuration(1), replica("r1")}
-	reader.apply(listed, true, 3, 0)
-	other.apply([]directory.Change{configuration(1)}, true, 5, 0)
-	reader.apply(listed, true, 9, 0)
-	other.applyUpdate(reader.UpdateSince(context.Background(), other.revision(), 0))
+	reader.apply(listed, true, Position{1, 3}, 0)
+	other.apply([]directory.Change{configuration(1)}, true, Position{1, 5}, 0)
+	reader.apply(listed, true, Position{1, 9}, 0)
+	other.applyUpdate(reader.UpdateSince(context.Background(), other.position(), 0))
 	is.Equal(len(other.journal.state.View().Replicas["s"]), 1)
-	is.Equal(other.revision(), uint64(9))
+	is.Equal(other.position(), Position{1, 9})
 }
 
 // removeReplicaWhileReaderDisconnected disconnects the reader of a zone from the store. After the time before, it
