register: leases carry the era of the store

Callers could have seen: cold replicas, connections and extra sends beyond their bounds, because each instance divides them by the registered ones, or too few requests for as long as a wrong number stays.

Cause: a restored store gives out lease numbers again. An instance that had registered after the copy was made noticed at its next renewal, up to 3 s later, if the number was free; if it belonged to somebody else by then, the renewal succeeded and the instance stayed unregistered.

Change: a lease has the era in which it was granted. An answer of a later era ends it, and the follower tells the registrar of a restore, which registers again within a second.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -83,6 +83,9 @@
 	RegistrationTTL time.Duration
 	Random          *rand.Rand
 	OnViewChanged   func(*directory.View)
+	// OnStoreRestored is called with the store's era when this instance learns that the store has been restored from a
+	// copy, and has lost what this instance wrote after the copy was made; nil to ignore it.
+	OnStoreRestored func(era uint64)
 }
 
 // Follower keeps one instance's directory up to date.
@@ -290,6 +293,9 @@
 	}
 	klog.InfoS("Store restored from a copy", "era", at.Era, "former", known.Era, "revision", at.Revision, "former-revision", known.Revision)
 	f.journal.state.StoreRestored(now)
+	if f.OnStoreRestored != nil {
+		f.OnStoreRestored(at.Era)
+	}
 }
 
 // apply applies changes to the directory and publishes the view if it changed. full says that the changes are a full
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -16,17 +16,27 @@
 	"github.com/medlarlatch/medlarlatch/internal/panics"
 )
 
-// ErrLeaseEnded is returned by Renew and Put for a lease that the store no longer has.
+// Lease is a lease of the store.
+type Lease struct {
+	// ID is the store's number of the lease; 0 for none. A store that was restored from a copy gives out the numbers
+	// after the copy again.
+	ID uint64
+	// Era is the store's era in which the lease was granted; 0 if the store did not name it.
+	Era uint64
+}
+
+// ErrLeaseEnded is returned by Renew and Put for a lease that the store no longer has, also if it has one of a later
+// era under the same number.
 var ErrLeaseEnded = errors.New("lease has ended")
 
 // Registry is the part of the store that holds registrations.
 type Registry interface {
 	// Grant returns a new lease that ends after the given time unless it is renewed.
-	Grant(ctx context.Context, ttl time.Duration) (lease uint64, err error)
+	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
 	// Put writes this instance's registration under the lease.
-	Put(ctx context.Context, lease uint64) error
+	Put(ctx context.Context, lease Lease) error
 	// Renew extends the lease.
-	Renew(ctx context.Context, lease uint64) error
+	Renew(ctx context.Context, lease Lease) error
 }
 
 var errPanicked = errors.New("call to the store panicked")
@@ -48,14 +58,28 @@
 	registry   Registry
 	random     *rand.Rand
 	ttl        time.Duration
-	lease      uint64
+	lease      Lease
 	registered bool
+	// restored holds the latest era of the store until Run has seen it.
+	restored chan uint64
 }
 
 // New returns a registrar for a store that grants leases of at least minTTL. The random source spreads the calls of
 // instances that start together.
 func New(registry Registry, minTTL time.Duration, random *rand.Rand) *Registrar {
-	return &Registrar{registry: registry, ttl: max(leaseTTL, minTTL), random: random}
+	return &Registrar{registry: registry, ttl: max(leaseTTL, minTTL), random: random, restored: make(chan uint64, 1)}
+}
+
+// StoreRestored makes the registrar register again, within retryInterval, if its lease is from before the era of the
+// store. It never blocks and is safe for concurrent use.
+func (r *Registrar) StoreRestored(era uint64) {
+	for {
+		select {
+		case r.restored <- era:
+			return
+		case <-r.restored: // replaced by the later era
+		}
+	}
 }
 
 // Run keeps the registration until ctx ends.
@@ -63,14 +87,31 @@
 	for ctx.Err() == nil {
 		wait := renewInterval
 		if err := r.step(ctx); err != nil && ctx.Err() == nil {
-			klog.V(1).InfoS("Registration failed", "lease", r.lease, "err", err)
+			klog.V(1).InfoS("Registration failed", "lease", r.lease.ID, "err", err)
 			wait = retryInterval
 		}
-		timer := time.NewTimer(wait/2 + time.Duration(r.random.Int64N(int64(wait/2))))
+		r.sleep(ctx, wait)
+	}
+}
+
+// sleep waits for at least half of the given time and at most all of it. If the store was restored meanwhile and has
+// lost the lease, sleep drops the lease and waits for at most retryInterval, so that the instances do not all register
+// at the same moment.
+func (r *Registrar) sleep(ctx context.Context, longest time.Duration) {
+	timer := time.NewTimer(longest/2 + time.Duration(r.random.Int64N(int64(longest/2))))
+	defer timer.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-			timer.Stop()
+			return
 		case <-timer.C:
+			return
+		case era := <-r.restored:
+			if r.lease.ID != 0 && r.lease.Era < era {
+				klog.InfoS("Registration lost with the restored store", "lease", r.lease.ID, "era", r.lease.Era, "store-era", era)
+				r.lease, r.registered = Lease{}, false
+				timer.Reset(time.Duration(r.random.Int64N(int64(retryInterval))))
+			}
 		}
 	}
 }
@@ -81,7 +122,7 @@
 	defer panics.Recover("renew the registration", func() { err = errPanicked })
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if r.lease == 0 {
+	if r.lease.ID == 0 {
 		lease, err := r.registry.Grant(callCtx, r.ttl)
 		if err != nil {
 			return err
@@ -98,8 +139,8 @@
 // obtains a new one.
 func (r *Registrar) handleResult(err error) error {
 	if errors.Is(err, ErrLeaseEnded) {
-		klog.InfoS("Registration lease ended", "lease", r.lease)
-		r.lease, r.registered = 0, false
+		klog.InfoS("Registration lease ended", "lease", r.lease.ID)
+		r.lease, r.registered = Lease{}, false
 		return err
 	}
 	if err == nil {
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -14,7 +14,11 @@
 
 // fakeRegistry is a fake of the store's leases.
 type fakeRegistry struct {
-	mutex  sync.Mutex
+	mutex sync.Mutex
+	// era is the store's era; others counts the calls with a lease of a former era, whose number now belongs to another
+	// instance.
+	era    uint64
+	others int
 	down   bool
 	lease  uint64
 	ends   time.Time
@@ -35,28 +39,32 @@
 	return r.lease == 0, nil
 }
 
-func (r *fakeRegistry) Grant(_ context.Context, ttl time.Duration) (uint64, error) {
+func (r *fakeRegistry) Grant(_ context.Context, ttl time.Duration) (Lease, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if _, err := r.beginCall(); err != nil {
-		return 0, err
+		return Lease{}, err
 	}
 	r.lease, r.ends = uint64(r.calls), time.Now().Add(ttl)
-	return r.lease, nil
+	return Lease{ID: r.lease, Era: r.era}, nil
 }
 
-func (r *fakeRegistry) Put(_ context.Context, lease uint64) error { return r.useLease(lease, true) }
+func (r *fakeRegistry) Put(_ context.Context, lease Lease) error { return r.useLease(lease, true) }
 
-func (r *fakeRegistry) Renew(_ context.Context, lease uint64) error { return r.useLease(lease, false) }
+func (r *fakeRegistry) Renew(_ context.Context, lease Lease) error { return r.useLease(lease, false) }
 
-func (r *fakeRegistry) useLease(lease uint64, put bool) error {
+func (r *fakeRegistry) useLease(lease Lease, put bool) error {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	ended, err := r.beginCall()
 	if err != nil {
 		return err
 	}
-	if ended || lease != r.lease {
+	if lease.Era < r.era {
+		r.others++
+		return ErrLeaseEnded
+	}
+	if ended || lease.ID != r.lease {
 		return ErrLeaseEnded
 	}
 	r.listed = r.listed || put
@@ -106,3 +114,56 @@
 		time.Sleep(renewInterval)
 	})
 }
+
+// TestRegistrationAfterRestore guards against an instance that is missing from a restored store until its next renewal,
+// while the others divide the global bounds among too few, and against one that goes on renewing a lease whose number
+// the store has given out again.
+func TestRegistrationAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := &fakeRegistry{era: 1}
+		ctx, stop := context.WithCancel(t.Context())
+		registrar := New(r, time.Second, rand.New(rand.NewPCG(1, 1)))
+		go registrar.Run(ctx)
+		for range 20 {
+			time.Sleep(4*time.Second + 300*time.Millisecond)
+			r.mutex.Lock()
+			r.era, r.listed = r.era+1, false // the number of the lease now belongs to another instance
+			era := r.era
+			r.mutex.Unlock()
+			registrar.StoreRestored(era - 1)
+			registrar.StoreRestored(era)
+			time.Sleep(retryInterval + callTimeout)
+			listed, _ := r.state()
+			is.True(listed)
+		}
+		is.Equal(r.others, 0)
+		_, before := r.state()
+		registrar.StoreRestored(r.era) // the lease is of this era
+		time.Sleep(retryInterval)
+		_, after := r.state()
+		is.True(after-before <= 1)
+		stop()
+		time.Sleep(renewInterval)
+	})
+}
+
+// TestLeaseOfFormerEra guards against an instance that learns of the restore only from the answer to its own call.
+func TestLeaseOfFormerEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := &fakeRegistry{era: 1}
+		ctx, stop := context.WithCancel(t.Context())
+		go New(r, time.Second, rand.New(rand.NewPCG(1, 1))).Run(ctx)
+		time.Sleep(4 * time.Second)
+		r.mutex.Lock()
+		r.era, r.listed = 2, false
+		r.mutex.Unlock()
+		time.Sleep(renewInterval + 2*retryInterval)
+		listed, _ := r.state()
+		is.True(listed)
+		is.Equal(r.others, 1)
+		stop()
+		time.Sleep(renewInterval)
+	})
+}
