directory: zones stay out of service while a restored store lacks their entry

Callers could have seen requests at replicas of a zone that the operators had taken out (rule EVAC): the first list after a restore does not contain an entry that was written after the copy, and a list brought every zone back that it did not name.

Cause: the absence of an entry was taken for its deletion. Registrations of replicas had a grace period for that, entries of the operators had none.

Evidence: TestEvacuationAfterRestore fails without the grace period.

Change: after a restore such a zone is back in service only when its entry is deleted, or 10 s later if it has not been written again.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -68,8 +68,8 @@
 	InstanceID         fleet.InstanceID
 	RegisteredInstance *Instance
 	Deleted            bool // the key was deleted
-	// RemoveAt is when a replica is removed whose registration may have expired only because of an outage of the store;
-	// zero means at once.
+	// RemoveAt is when a deletion takes effect that may be due to a fault of the store: a registration that expired
+	// during an outage, or an entry that a restored copy does not contain. Zero means at once.
 	RemoveAt time.Time
 }
 
@@ -92,13 +92,16 @@
 	// heartbeats holds the last known heartbeat of each replica, including replicas that were removed a short time ago.
 	heartbeats        map[fleet.ServerID]heartbeat
 	zonesOutOfService map[fleet.ZoneID]struct{}
+	// pendingReturn holds the zones out of service whose entries a restored store lacks, each with the time at which it
+	// is back in service unless the operators write the entry again.
+	pendingReturn map[fleet.ZoneID]time.Time
 	// instances holds the instances that are registered, or were until a short time ago; unregisteredSince holds when
 	// the latter lost their registration.
 	instances         map[fleet.InstanceID]Instance
 	unregisteredSince map[fleet.InstanceID]time.Time
 	// registrationsLostAt is when the store answered again after the last outage or restore in which registrations of
-	// live replicas may have been lost.
-	registrationsLostAt time.Time
+	// live replicas may have been lost. storeRestoredAt is when it answered again after the last restore from a copy.
+	registrationsLostAt, storeRestoredAt time.Time
 }
 
 // New returns an empty directory.
@@ -107,6 +110,7 @@
 		replicas:          make(map[fleet.ServerID]Replica),
 		pendingRemoval:    make(map[fleet.ServerID]time.Time),
 		zonesOutOfService: make(map[fleet.ZoneID]struct{}),
+		pendingReturn:     make(map[fleet.ZoneID]time.Time),
 
 		heartbeats:        make(map[fleet.ServerID]heartbeat),
 		instances:         make(map[fleet.InstanceID]Instance),
@@ -124,8 +128,8 @@
 func (d *Directory) StoreRecovered(now time.Time) { d.registrationsLostAt = now }
 
 // StoreRestored records that the store has been restored from a copy and has lost its latest changes, so that entries of
-// live replicas are missing until they are written again.
-func (d *Directory) StoreRestored(now time.Time) { d.registrationsLostAt = now }
+// live replicas and of the operators are missing until they are written again.
+func (d *Directory) StoreRestored(now time.Time) { d.registrationsLostAt, d.storeRestoredAt = now, now }
 
 // Apply applies changes, which come in the order of their revisions, and returns those that had an effect. Most changes
 // are heartbeats, which have none.
@@ -148,7 +152,7 @@
 		d.table = change.Table
 		return true
 	case change.Zone != "":
-		return d.setOutOfService(change.Zone, !change.Deleted)
+		return d.setOutOfService(change, now)
 	case change.RegisteredInstance != nil:
 		previous, listed := d.instances[change.InstanceID]
 		_, gone := d.unregisteredSince[change.InstanceID]
@@ -210,15 +214,23 @@
 	return true
 }
 
-// setOutOfService records whether a zone is out of service and reports whether that changed.
-func (d *Directory) setOutOfService(zone fleet.ZoneID, out bool) bool {
-	_, was := d.zonesOutOfService[zone]
-	if out {
-		d.zonesOutOfService[zone] = struct{}{}
-	} else {
-		delete(d.zonesOutOfService, zone)
+// setOutOfService records that a zone is out of service or, if the entry was deleted, back in service at
+// change.RemoveAt. It reports whether anything changed.
+func (d *Directory) setOutOfService(change *Change, now time.Time) bool {
+	_, was := d.zonesOutOfService[change.Zone]
+	pending := d.pendingReturn[change.Zone]
+	switch {
+	case !change.Deleted:
+		d.zonesOutOfService[change.Zone] = struct{}{}
+		delete(d.pendingReturn, change.Zone)
+		return !was || !pending.IsZero()
+	case was && now.Before(change.RemoveAt):
+		d.pendingReturn[change.Zone] = change.RemoveAt
+		return !pending.Equal(change.RemoveAt)
 	}
-	return was != out
+	delete(d.zonesOutOfService, change.Zone)
+	delete(d.pendingReturn, change.Zone)
+	return was
 }
 
 // warmUpTolerance is the difference up to which two values for the end of the warm-up count as equal. A heartbeat
@@ -251,7 +263,13 @@
 	return true
 }
 
-// Replace applies a full list of the store: what the list does not contain is removed. It returns the changes that had
+// evacuationGracePeriod is how long after a restore of the store from a copy a zone stays out of service whose entry the
+// copy lacks. The operators write their entries again; requests to a zone that they have taken out do more harm than a
+// zone that is used again some seconds late.
+const evacuationGracePeriod = 10 * time.Second
+
+// Replace applies a full list of the store: what the list does not contain is removed, zones that are out of service
+// only at the end of evacuationGracePeriod if the store has been restored from a copy. It returns the changes that had
 // an effect.
 func (d *Directory) Replace(listed []Change, now time.Time) []Change {
 	replicas := make(map[fleet.ServerID]struct{}, len(listed))
@@ -267,7 +285,11 @@
 	changes := slices.Clone(listed)
 	for _, zone := range slices.Sorted(maps.Keys(d.zonesOutOfService)) {
 		if _, ok := zones[zone]; !ok {
-			changes = append(changes, Change{Zone: zone, Deleted: true})
+			change := Change{Zone: zone, Deleted: true}
+			if until := d.storeRestoredAt.Add(evacuationGracePeriod); now.Before(until) {
+				change.RemoveAt = until
+			}
+			changes = append(changes, change)
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.replicas)) {
@@ -323,7 +345,7 @@
 const instanceRetention = 15 * time.Second
 
 // Expire removes the replicas whose RemoveAt has come and the instances that lost their registration instanceRetention
-// ago. It reports whether the view changed.
+// ago, and returns zones to service whose RemoveAt has come. It reports whether the view changed.
 func (d *Directory) Expire(now time.Time) bool {
 	for id, last := range d.heartbeats {
 		if _, listed := d.replicas[id]; !listed && now.Sub(last.receivedAt) >= heartbeatRetention {
@@ -338,10 +360,17 @@
 			dropped = true
 		}
 	}
+	for zone, until := range d.pendingReturn {
+		if !now.Before(until) {
+			delete(d.zonesOutOfService, zone)
+			delete(d.pendingReturn, zone)
+			dropped = true
+		}
+	}
 	return dropped
 }
 
-// NextRemoval returns when the next replica in pendingRemoval is to be removed; false if there is none.
+// NextRemoval returns when the next deletion that is pending takes effect; false if there is none.
 func (d *Directory) NextRemoval() (time.Time, bool) {
 	var next time.Time
 	for _, until := range d.pendingRemoval {
@@ -349,6 +378,11 @@
 			next = until
 		}
 	}
+	for _, until := range d.pendingReturn {
+		if next.IsZero() || until.Before(next) {
+			next = until
+		}
+	}
 	return next, !next.IsZero()
 }
 
--- /dev/null
+++ b/internal/directory/restore_test.go
@@ -0,0 +1,55 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+)
+
+// TestEvacuationAfterRestore guards against requests to a zone that the operators have taken out of service, because
+// the copy from which the store was restored does not have the entry.
+func TestEvacuationAfterRestore(t *testing.T) {
+	evacuated := []Change{{Zone: "y"}}
+	for name, test := range map[string]struct {
+		later    func(d *Directory, now time.Time) // after the first list of the restored store
+		at       time.Duration
+		outAtEnd bool
+	}{
+		"not written again yet": {nil, evacuationGracePeriod - time.Millisecond, true},
+		"never written again":   {nil, evacuationGracePeriod, false},
+		"written again":         {func(d *Directory, now time.Time) { d.Apply(evacuated, now) }, evacuationGracePeriod, true},
+		"ended by the operators": {func(d *Directory, now time.Time) {
+			d.Apply([]Change{{Zone: "y", Deleted: true}}, now)
+		}, time.Second, false},
+		"listed again without it": {func(d *Directory, now time.Time) {
+			d.Replace(nil, now)
+		}, evacuationGracePeriod - time.Millisecond, true},
+		"restored again": {func(d *Directory, now time.Time) {
+			d.StoreRestored(now)
+			d.Replace(nil, now)
+		}, evacuationGracePeriod, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d, now := New(), time.Now()
+			d.Apply(evacuated, now)
+			d.StoreRestored(now)
+			until := now.Add(evacuationGracePeriod)
+			is.Equal(d.Replace(nil, now), []Change{{Zone: "y", Deleted: true, RemoveAt: until}}) // peers keep it as long
+			is.Equal(d.View().ZonesOutOfService, []fleet.ZoneID{"y"})
+			next, _ := d.NextRemoval()
+			is.Equal(next, until)
+			if test.later != nil {
+				test.later(d, now.Add(time.Second))
+			}
+			d.Expire(now.Add(test.at))
+			is.Equal(len(d.View().ZonesOutOfService) == 1, test.outAtEnd)
+			if _, pending := d.NextRemoval(); !test.outAtEnd {
+				is.True(!pending)
+			}
+		})
+	}
+}
