directory: remember a removed replica from its removal on

Cause: an outdated entry is told by the last heartbeat of its replica, which was kept for 30 s after it had been received. The store passes on only entries that change, so that heartbeat may be hours old, and was forgotten at the removal. A write that the store executes late had the same effect.

Change: the 30 s begin with the removal.

--- a/internal/directory/departure.go
+++ b/internal/directory/departure.go
@@ -50,8 +50,7 @@
 		switch {
 		case !listed:
 		case departure.Removed:
-			delete(d.replicas, departure.Replica)
-			delete(d.pendingRemoval, departure.Replica)
+			d.dropReplica(departure.Replica, now)
 			changed = true
 		case !entry.Draining:
 			entry.Draining = true
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -258,11 +258,21 @@
 		d.pendingRemoval[change.ReplicaID] = change.RemoveAt
 		return true
 	}
-	delete(d.replicas, change.ReplicaID)
-	delete(d.pendingRemoval, change.ReplicaID)
+	d.dropReplica(change.ReplicaID, now)
 	return true
 }
 
+// dropReplica removes a replica. Its last heartbeat is kept for heartbeatRetention from now: a live replica's entry may
+// not have changed for long, and an outdated entry can come back after the removal.
+func (d *Directory) dropReplica(id fleet.ServerID, now time.Time) {
+	delete(d.replicas, id)
+	delete(d.pendingRemoval, id)
+	if last, known := d.heartbeats[id]; known {
+		last.receivedAt = now
+		d.heartbeats[id] = last
+	}
+}
+
 // evacuationGracePeriod is how long after a restore of the store from a copy a zone stays out of service whose entry the
 // copy lacks. The operators write their entries again; requests to a zone that they have taken out do more harm than a
 // zone that is used again some seconds late.
@@ -355,8 +365,7 @@
 	dropped := d.expireInstances(now)
 	for id, until := range d.pendingRemoval {
 		if !now.Before(until) {
-			delete(d.replicas, id)
-			delete(d.pendingRemoval, id)
+			d.dropReplica(id, now)
 			dropped = true
 		}
 	}
--- a/internal/directory/restore_test.go
+++ b/internal/directory/restore_test.go
@@ -53,3 +53,38 @@
 		})
 	}
 }
+
+// TestRemovedReplicaListedAgain guards against requests to a replica that was removed and is listed again, because the
+// store was restored from a copy or executed a write late. The replica had registered long before, and its entry had
+// not changed since.
+func TestRemovedReplicaListedAgain(t *testing.T) {
+	for name, remove := range map[string]func(d *Directory, now time.Time){
+		"entry removed": func(d *Directory, now time.Time) { d.Apply([]Change{removedReplica("a")}, now) },
+		"not written again after an outage": func(d *Directory, now time.Time) {
+			d.StoreRecovered(now.Add(-expiryGracePeriod))
+			d.Apply([]Change{{ReplicaID: "a", Deleted: true, RemoveAt: now}}, now.Add(-time.Millisecond))
+			d.Expire(now)
+		},
+		"removed at a peer": func(d *Directory, now time.Time) {
+			d.ApplyDepartures([]Departure{{Replica: "a", StartedAt: 1, Removed: true}}, now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d, now := New(), time.Now()
+			d.Apply([]Change{listed("a")}, now)
+			now = now.Add(time.Hour)
+			remove(d, now)
+			is.Equal(usableIDs(d.View()), []fleet.ServerID{})
+			now = now.Add(heartbeatRetention - time.Second)
+			d.Expire(now)
+			d.StoreRestored(now)
+			d.Replace([]Change{listed("a")}, now)
+			is.Equal(usableIDs(d.View()), []fleet.ServerID{})
+			alive := newReplica("a")
+			alive.Sequence++
+			d.Apply([]Change{{ReplicaID: "a", RegisteredReplica: alive}}, now)
+			is.Equal(usableIDs(d.View()), []fleet.ServerID{"a"})
+		})
+	}
+}
