directory: accept the known heartbeat of a replica whose registration expired

Callers could have seen a live replica unused for 30 s: its registration was missing for longer than the grace period after a fault of the store and is written again with the same heartbeat. The entry was taken for one that was written before the removal, and the store does not pass on later heartbeats that change nothing else.

Change: the same heartbeat is refused only if the removal was confirmed.

--- a/internal/directory/departure.go
+++ b/internal/directory/departure.go
@@ -46,11 +46,11 @@
 			continue
 		}
 		entry, listed := d.replicas[departure.Replica]
-		d.heartbeats[departure.Replica] = heartbeat{departure.StartedAt, departure.Sequence, now}
+		d.heartbeats[departure.Replica] = heartbeat{startedAt: departure.StartedAt, sequence: departure.Sequence, receivedAt: now}
 		switch {
 		case !listed:
 		case departure.Removed:
-			d.dropReplica(departure.Replica, now)
+			d.dropReplica(departure.Replica, false, now)
 			changed = true
 		case !entry.Draining:
 			entry.Draining = true
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -180,6 +180,9 @@
 type heartbeat struct {
 	startedAt, sequence int64
 	receivedAt          time.Time
+	// expired is set if the replica was removed because its registration was missing after a fault of the store. A live
+	// replica may register again with the same heartbeat.
+	expired bool
 }
 
 // heartbeatRetention is how long the last heartbeat of a removed replica is kept, because the store may execute a write
@@ -194,10 +197,10 @@
 	_, listed := d.replicas[entry.ID]
 	switch {
 	case !known || entry.StartedAt > last.startedAt:
-	case entry.StartedAt < last.startedAt, entry.Sequence < last.sequence, entry.Sequence == last.sequence && !listed:
+	case entry.StartedAt < last.startedAt, entry.Sequence < last.sequence, entry.Sequence == last.sequence && !listed && !last.expired:
 		return true
 	}
-	d.heartbeats[entry.ID] = heartbeat{entry.StartedAt, entry.Sequence, now}
+	d.heartbeats[entry.ID] = heartbeat{startedAt: entry.StartedAt, sequence: entry.Sequence, receivedAt: now}
 	return false
 }
 
@@ -258,17 +261,18 @@
 		d.pendingRemoval[change.ReplicaID] = change.RemoveAt
 		return true
 	}
-	d.dropReplica(change.ReplicaID, now)
+	d.dropReplica(change.ReplicaID, false, now)
 	return true
 }
 
-// dropReplica removes a replica. Its last heartbeat is kept for heartbeatRetention from now: a live replica's entry may
-// not have changed for long, and an outdated entry can come back after the removal.
-func (d *Directory) dropReplica(id fleet.ServerID, now time.Time) {
+// dropReplica removes a replica; expired says that only its registration is missing. Its last heartbeat is kept for
+// heartbeatRetention from now: a live replica's entry may not have changed for long, and an outdated entry can come back
+// after the removal.
+func (d *Directory) dropReplica(id fleet.ServerID, expired bool, now time.Time) {
 	delete(d.replicas, id)
 	delete(d.pendingRemoval, id)
 	if last, known := d.heartbeats[id]; known {
-		last.receivedAt = now
+		last.receivedAt, last.expired = now, expired
 		d.heartbeats[id] = last
 	}
 }
@@ -365,7 +369,7 @@
 	dropped := d.expireInstances(now)
 	for id, until := range d.pendingRemoval {
 		if !now.Before(until) {
-			d.dropReplica(id, now)
+			d.dropReplica(id, true, now)
 			dropped = true
 		}
 	}
