follow: an instance that starts gets from a peer what a restored store lacks

Callers could have seen: an instance that starts right after a restore serves with the configuration of the copy, sends to zones that were taken out and to replicas that have left, and takes bounds for itself that others hold.

Cause: an instance that starts knew only the list of the store and, from a registered peer, the departed replicas. A full update between instances lacked entries that are kept although the store does not have them, so that the receiver removed them at once, or never if it did not know of the removal.

Evidence: TestStartAfterRestore, with the peers registered in the copy or known as seeds only, before and after they have noticed the restore, and a series of restores in TestRestoreKeepsConfirmedState.

Change: the list is supplemented from the state of a peer, of the seeds if no peer is registered.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -160,7 +160,7 @@
 		delete(d.unregisteredSince, change.InstanceID)
 		return !listed || gone || previous != *change.RegisteredInstance
 	case change.InstanceID != "":
-		return d.markUnregistered(change.InstanceID, now)
+		return d.markUnregistered(change, now)
 	case change.RegisteredReplica != nil && d.outdated(change.RegisteredReplica, now):
 		return false
 	case change.RegisteredReplica != nil:
@@ -204,9 +204,10 @@
 	return false
 }
 
-// markUnregistered records that an instance is no longer registered. The instance stays in the view for
-// instanceRetention. It reports whether the instance was still registered.
-func (d *Directory) markUnregistered(id fleet.InstanceID, now time.Time) bool {
+// markUnregistered records that an instance is no longer registered. The instance stays in the view until
+// change.RemoveAt or, if that is zero, for instanceRetention. It reports whether the instance was still registered.
+func (d *Directory) markUnregistered(change *Change, now time.Time) bool {
+	id := change.InstanceID
 	if _, listed := d.instances[id]; !listed {
 		return false
 	}
@@ -214,6 +215,9 @@
 		return false
 	}
 	d.unregisteredSince[id] = now
+	if !change.RemoveAt.IsZero() {
+		d.unregisteredSince[id] = change.RemoveAt.Add(-instanceRetention)
+	}
 	return true
 }
 
@@ -319,7 +323,8 @@
 	return d.Apply(changes, now)
 }
 
-// Snapshot returns the whole state as changes, in the form of a full list of the store.
+// Snapshot returns the whole state as changes, in the form of a full list of the store. An entry that is kept although
+// the store does not have it is followed by its deletion with the time at which that takes effect.
 func (d *Directory) Snapshot() []Change {
 	var all []Change
 	if d.table != nil {
@@ -327,14 +332,22 @@
 	}
 	for _, zone := range slices.Sorted(maps.Keys(d.zonesOutOfService)) {
 		all = append(all, Change{Zone: zone})
+		if until, pending := d.pendingReturn[zone]; pending {
+			all = append(all, Change{Zone: zone, Deleted: true, RemoveAt: until})
+		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.replicas)) {
 		entry := d.replicas[id]
 		all = append(all, Change{ReplicaID: id, RegisteredReplica: &entry})
+		if until, pending := d.pendingRemoval[id]; pending {
+			all = append(all, Change{ReplicaID: id, Deleted: true, RemoveAt: until})
+		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.instances)) {
-		if registered := d.instances[id]; d.unregisteredSince[id].IsZero() {
-			all = append(all, Change{InstanceID: id, RegisteredInstance: &registered})
+		registered := d.instances[id]
+		all = append(all, Change{InstanceID: id, RegisteredInstance: &registered})
+		if since, gone := d.unregisteredSince[id]; gone {
+			all = append(all, Change{InstanceID: id, Deleted: true, RemoveAt: since.Add(instanceRetention)})
 		}
 	}
 	return all
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -98,8 +98,8 @@
 	// first.
 	synced   bool
 	failures int
-	// departureFetches counts the attempts since the start to fetch departures from a peer.
-	departureFetches int
+	// peerRecoveries counts the peers that were asked since the start for what the list of the store lacks.
+	peerRecoveries int
 	// lastStoreAnswer is when the store last answered this instance.
 	lastStoreAnswer time.Time
 	// skipUntil maps peers that failed to the time until which they are not asked.
@@ -274,7 +274,7 @@
 	// Without an era, only a revision that went back tells that the store was restored.
 	listed.Era = max(listed.Era, known.Era)
 	f.apply(changes, true, listed, 0)
-	f.fetchDepartures(ctx)
+	f.recoverFromPeer(ctx)
 	return nil
 }
 
--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -105,8 +105,9 @@
 		era      uint64 // of the store at the start; 0 if it names none
 		restores int
 	}{
-		"one restore":             {1, 1},
-		"store that names no era": {0, 1},
+		"one restore":                    {1, 1},
+		"again before the first is over": {1, 3},
+		"store that names no era":        {0, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newFakeStore()
@@ -140,10 +141,12 @@
 		check()
 		for range restores {
 			s.restore(copied)
-			time.Sleep(2 * time.Second)
+			time.Sleep(heartbeat)
+			check()
+			s.write(replica("r6"))
+			time.Sleep(heartbeat)
 			check()
 		}
-		s.write(replica("r6"))
 		s.write(heartbeatOf("r2", 10, true))
 		time.Sleep(5 * time.Second)
 		check()
@@ -232,3 +235,66 @@
 		is.Equal(len(f.journal.state.View().Replicas["s"]), 1)
 	}
 }
+
+// TestStartAfterRestore guards against an instance that starts while the restored store lists only the copy, and takes
+// it for the present: the configuration and the zones out of service are those of the copy, replicas are missing, ones
+// that have left are used, and the global bounds are divided among too few instances.
+func TestStartAfterRestore(t *testing.T) {
+	for name, test := range map[string]struct {
+		peersKnow bool // the peers learn of the restore before the instance starts
+		listed    bool // the peers are registered in the copy; otherwise only the seeds are known
+	}{
+		"peers know of the restore, registered":        {true, true},
+		"peers do not know of the restore, registered": {false, true},
+		"peers know of the restore, seeds only":        {true, false},
+		"peers do not know of the restore, seeds only": {false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFakeStore()
+			s.era = 1
+			runInstancesOn(t, s, nil, func(is *is.I, s *fakeStore, i *fakeInstances) {
+				ctx, stop := context.WithCancel(context.Background())
+				defer stop()
+				names := instanceNames(3)
+				register := func() {
+					for _, name := range names {
+						s.write(registered(name, "a"))
+					}
+				}
+				if test.listed {
+					register()
+				}
+				s.write(heartbeatOf("r2", 5, false))
+				copied := s.revisionNow()
+				if !test.listed {
+					register()
+				}
+				s.write(configuration(2))
+				s.write(replica("r6"))
+				s.write(directory.Change{Zone: "y"})
+				for _, name := range names {
+					i.start(ctx, directory.Instance{ID: name, Zone: "a", PeerAddress: string(name)}, s)
+				}
+				time.Sleep(4 * pollInterval)
+				s.write(removedReplica("r2"))
+				time.Sleep(3 * pollInterval)
+				s.restore(copied)
+				if !test.peersKnow {
+					for _, name := range names {
+						i.links[name].disconnected.Store(true)
+					}
+				}
+				time.Sleep(3 * pollInterval / 2)
+				i.start(ctx, directory.Instance{ID: "new", Zone: "a", PeerAddress: "new"}, s, "nobody", "i1", "i2")
+				time.Sleep(pollInterval / 4)
+				v := i.view("new")
+				is.Equal(v.Table.Version(), uint64(2))
+				is.Equal(v.ZonesOutOfService, []fleet.ZoneID{"y"})
+				is.Equal(i.replicas("new"), 5) // r1, r3, r4, r5, r6
+				is.Equal(len(v.Instances), 3)
+				time.Sleep(5 * pollInterval) // r6 has not registered again
+				is.Equal(i.replicas("new"), 4)
+			})
+		})
+	}
+}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -95,14 +95,23 @@
 	}
 }
 
+// seedInstances returns the seeds as instances, with their addresses as IDs.
+func (f *Follower) seedInstances() []directory.Instance {
+	var seeds []directory.Instance
+	for _, address := range f.Seeds {
+		if address != f.Self.PeerAddress {
+			seeds = append(seeds, directory.Instance{ID: fleet.InstanceID(address), PeerAddress: address})
+		}
+	}
+	return seeds
+}
+
 // availablePeers returns the peers that can be asked now. While no instance is known, these are the seeds, with their
 // addresses as IDs.
 func (f *Follower) availablePeers(now time.Time) []directory.Instance {
 	known := f.registeredInstances()
 	if len(known) == 0 {
-		for _, address := range f.Seeds {
-			known = append(known, directory.Instance{ID: fleet.InstanceID(address), PeerAddress: address})
-		}
+		known = f.seedInstances()
 	}
 	return slices.DeleteFunc(known, func(instance directory.Instance) bool {
 		return instance.ID == f.Self.ID || instance.PeerAddress == "" || instance.PeerAddress == f.Self.PeerAddress || now.Before(f.skipUntil[instance.ID])
