follow: do not send a peer changes of which it knows a part

Callers saw 503 from one instance for as long as it lived: it had no replica.

Cause: an instance that has polled the store itself is at a revision inside the batch of changes that the reader of its zone read in one answer, after a pause of the reader's process. The reader sent the whole batch. The instance removed the replicas that had expired in between a second time, and ignored that they had registered again, because it knew later heartbeats.

Change: such an instance gets the full state.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -313,13 +313,14 @@
 		effective = j.state.Apply(changes, now)
 	}
 	expired := f.expireRegistrations(now)
+	former := j.position.Revision
 	if full || j.position.Before(position) {
 		j.position = position
 	}
 	if contact := now.Add(-age); contact.After(j.lastStoreContact) {
 		j.lastStoreContact = contact
 	}
-	j.record(effective, j.position.Revision)
+	j.record(effective, former, j.position.Revision)
 	if full {
 		j.discardEntries()
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -115,7 +115,7 @@
 // add applies a change under the next revision. The caller holds the mutex.
 func (s *fakeStore) add(change directory.Change) {
 	s.revision++
-	s.events = append(s.events, journalEntry{s.revision, change})
+	s.events = append(s.events, journalEntry{revision: s.revision, change: change})
 	switch {
 	case change.ReplicaID == "":
 		s.others = append(s.others, change)
--- a/internal/follow/journal.go
+++ b/internal/follow/journal.go
@@ -39,23 +39,25 @@
 	changed chan struct{}
 }
 
-// journalEntry is one change that had an effect, with the revision at which it was recorded.
+// journalEntry is one change that had an effect. It was made after the revision after, and at the revision at the
+// latest.
 type journalEntry struct {
-	revision uint64
-	change   directory.Change
+	after, revision uint64
+	change          directory.Change
 }
 
 func newJournal() *journal {
 	return &journal{state: directory.New(), changed: make(chan struct{})}
 }
 
-// record keeps changes that had an effect on the directory and wakes waiting peers. The caller holds the mutex.
-func (j *journal) record(changes []directory.Change, revision uint64) {
+// record keeps changes that had an effect on the directory and were made between two revisions, and wakes waiting
+// peers. The caller holds the mutex.
+func (j *journal) record(changes []directory.Change, after, revision uint64) {
 	if len(changes) == 0 {
 		return
 	}
 	for _, change := range changes {
-		j.entries = append(j.entries, journalEntry{revision, change})
+		j.entries = append(j.entries, journalEntry{after, revision, change})
 	}
 	if excess := len(j.entries) - maxJournalEntries; excess > 0 {
 		j.completeAfter = j.entries[excess-1].revision
@@ -103,12 +105,15 @@
 	if after.Era > j.position.Era {
 		return update
 	}
-	if after.Era != 0 && after.Era < j.position.Era || after.Revision < j.completeAfter {
+	first := sort.Search(len(j.entries), func(i int) bool { return j.entries[i].revision > after.Revision })
+	// A peer that has read the store itself may know some of the changes that were read together with the next one.
+	// Removals among them must not be applied again after what followed.
+	partlyKnown := first < len(j.entries) && j.entries[first].after < after.Revision
+	if after.Era != 0 && after.Era < j.position.Era || after.Revision < j.completeAfter || partlyKnown {
 		update.Full = true
 		update.Changes = j.state.Snapshot()
 		return update
 	}
-	first := sort.Search(len(j.entries), func(i int) bool { return j.entries[i].revision > after.Revision })
 	for _, e := range j.entries[first:] {
 		update.Changes = append(update.Changes, e.change)
 	}
--- a/internal/follow/source_test.go
+++ b/internal/follow/source_test.go
@@ -143,3 +143,28 @@
 		}
 	})
 }
+
+// TestUpdateFromTheMiddleOfABatch guards against an instance that applies changes a second time which it has read from
+// the store itself: it removed the replicas that had expired in between, and ignored that they had registered again,
+// because it knew later heartbeats (soak, seed 2001: no replica until the next list).
+func TestUpdateFromTheMiddleOfABatch(t *testing.T) {
+	is := is.New(t)
+	newFollower := func() *Follower {
+		return New(Options{Random: rand.New(rand.NewPCG(1, 1)), OnViewChanged: func(*directory.View) {}})
+	}
+	reader, other := newFollower(), newFollower()
+	listed := []directory.Change{configuration(1), heartbeatOf("r1", 1, false)}
+	missed := []directory.Change{removedReplica("r1"), heartbeatOf("r1", 2, false), heartbeatOf("r1", 3, false)}
+	for _, f := range []*Follower{reader, other} {
+		f.apply(listed, true, Position{1, 3}, 0)
+	}
+	other.apply(missed, false, Position{1, 6}, 0)
+	reader.apply(append(missed, replica("r2")), false, Position{1, 7}, 0) // after a pause of its process
+	other.applyUpdate(reader.UpdateSince(context.Background(), other.position(), 0))
+	is.Equal(len(other.journal.state.View().Replicas["s"]), 2)
+	is.Equal(other.position(), Position{1, 7})
+
+	reader.apply([]directory.Change{removedReplica("r2")}, false, Position{1, 8}, 0)
+	update := reader.UpdateSince(context.Background(), other.position(), 0)
+	is.True(!update.Full) // the usual case stays incremental
+}
