forwarding, lookup: instances without replicas forward requests to others

Cause: an instance without replicas could only refuse. It reported not ready only if no replica of any other zone answered, so that it stayed in rotation while old connections lived on; and callers reach an instance that is out of rotation over connections that they keep, and when less than half of a zone is ready. The class of fault: the way from the callers to the work had one path, and its loss was taken for a loss of the replicas.

Change: an instance that opens no connection to any replica, or whose request cannot reach its floor, passes the request on to another instance by JSON-RPC. That one serves it within its own bounds of sends, connections and memory or refuses it, and never forwards it. Requests of which it is not known whether they ran go to one instance only unless they are idempotent. At the end of the partition its links are used at once.

--- /dev/null
+++ b/internal/forwarding/forwarding.go
@@ -0,0 +1,47 @@
+// Package forwarding passes callers' requests on to another entry instance. An instance that is partitioned from the
+// replicas of a request, while its callers and the other instances still reach it, cannot serve the request itself.
+//
+// Helpers decides which instance is asked; it does no I/O. A Forwarder asks instances until one has served the request
+// or may have. A Server answers the instances that ask. A request is forwarded at most once on its way: the instance
+// that is asked serves it or refuses it, and never forwards it.
+package forwarding
+
+import (
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+// Request is a caller's request as the origin, the instance that received it, passes it on.
+type Request struct {
+	Origin fleet.InstanceID `json:"origin"`
+	// Number identifies the request among those of the origin's process, for its cancellation.
+	Number uint64 `json:"number"`
+	// Message is the request in the form of HTTP/1.1, with a Content-Length if it has a body.
+	Message []byte `json:"message"`
+	// RemainingMillis is the time until the deadline.
+	RemainingMillis float64 `json:"remaining-millis"`
+}
+
+// Reply is the answer to a forwarded request.
+type Reply struct {
+	// Refused is set if the instance did not run the request and never will. There is no Message then.
+	Refused bool           `json:"refused,omitempty"`
+	Reason  verdict.Reason `json:"reason"`
+	// Unreachable is set if the instance refused because it does not reach the replicas either.
+	Unreachable      bool  `json:"unreachable,omitempty"`
+	RetryAfterMillis int64 `json:"retry-after-millis,omitempty"`
+	// Message is the answer in the form of HTTP/1.1, with a Content-Length.
+	Message []byte `json:"message,omitempty"`
+}
+
+// cancellation tells a peer that the caller of a forwarded request has gone.
+type cancellation struct {
+	Origin fleet.InstanceID `json:"origin"`
+	Number uint64           `json:"number"`
+}
+
+// Methods by which instances forward requests to each other.
+const (
+	ForwardMethod = "forward"
+	CancelMethod  = "cancel-forward"
+)
--- /dev/null
+++ b/internal/forwarding/server_test.go
@@ -0,0 +1,146 @@
+package forwarding
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/medlarlatch/medlarlatch/internal/peerrpc"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
+)
+
+// blockingHandler serves each request until its caller has gone or release is closed.
+type blockingHandler struct {
+	started, cancelled, release chan struct{}
+}
+
+func newBlockingHandler() *blockingHandler {
+	return &blockingHandler{make(chan struct{}, 10), make(chan struct{}, 10), make(chan struct{})}
+}
+
+func (h *blockingHandler) ServeForwarded(ctx context.Context, request *Request) Reply {
+	h.started <- struct{}{}
+	select {
+	case <-ctx.Done():
+		h.cancelled <- struct{}{}
+		return Reply{Refused: true, Reason: verdict.Cancelled}
+	case <-h.release:
+		return Reply{Message: request.Message}
+	}
+}
+
+// startServer starts a server on loopback and returns it with its address.
+func startServer(t *testing.T, h Handler) (*Server, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := NewServer(h)
+	go func() { _ = peerrpc.NewServer(s.Methods()).Serve(t.Context(), listener) }()
+	return s, listener.Addr().String()
+}
+
+type answer struct {
+	reply Reply
+	sent  bool
+	err   error
+}
+
+// TestCancellation guards against replicas that work on for a caller that has gone, and against a cancelled request that
+// closes the connection of the others.
+func TestCancellation(t *testing.T) {
+	is := is.New(t)
+	h := newBlockingHandler()
+	_, address := startServer(t, h)
+	client := NewClient(peerrpc.NewClient())
+	kept := make(chan answer, 1)
+	go func() {
+		reply, sent, err := client.Forward(t.Context(), address, &Request{Origin: "o", Number: 1, Message: []byte("kept")})
+		kept <- answer{reply, sent, err}
+	}()
+	<-h.started
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan answer, 1)
+	go func() {
+		reply, sent, err := client.Forward(ctx, address, &Request{Origin: "o", Number: 2})
+		ended <- answer{reply, sent, err}
+	}()
+	<-h.started
+	cancel()
+	<-h.cancelled
+	got := <-ended
+	is.True(got.sent && got.err != nil)
+	close(h.release)
+	got = <-kept
+	is.NoErr(got.err)
+	is.Equal(string(got.reply.Message), "kept")
+}
+
+// TestOriginEnds guards against replicas that work on for an instance that has ended.
+func TestOriginEnds(t *testing.T) {
+	h := newBlockingHandler()
+	_, address := startServer(t, h)
+	rpcClient := peerrpc.NewClient()
+	go func() { _, _, _ = NewClient(rpcClient).Forward(t.Context(), address, &Request{Origin: "o", Number: 1}) }()
+	<-h.started
+	conn, err := rpcClient.Connect(t.Context(), address)
+	is.New(t).NoErr(err)
+	conn.Drop()
+	<-h.cancelled
+}
+
+// TestServerShutdown guards against an instance that ends while it runs a forwarded request, and against one that takes
+// further requests while it ends.
+func TestServerShutdown(t *testing.T) {
+	is := is.New(t)
+	h := newBlockingHandler()
+	s, address := startServer(t, h)
+	client := NewClient(peerrpc.NewClient())
+	kept := make(chan answer, 1)
+	go func() {
+		reply, sent, err := client.Forward(t.Context(), address, &Request{Origin: "o", Number: 1, Message: []byte("kept")})
+		kept <- answer{reply, sent, err}
+	}()
+	<-h.started
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	s.Shutdown(ctx)
+	is.True(ctx.Err() != nil) // it waited for the request
+	reply, _, err := client.Forward(t.Context(), address, &Request{Origin: "o", Number: 2})
+	is.NoErr(err)
+	is.True(reply.Refused)
+	close(h.release)
+	s.Shutdown(t.Context())
+	is.Equal(string((<-kept).reply.Message), "kept")
+}
+
+// TestSilentPeer guards against a request that waits until its deadline for an instance whose process does not run.
+func TestSilentPeer(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	began := time.Now()
+	_, sent, err := NewClient(peerrpc.NewClient()).Forward(ctx, listener.Addr().String(), &Request{Origin: "o", Number: 1})
+	is.Equal(err, errSilent)
+	is.True(sent)
+	is.True(time.Since(began) < 5*time.Second)
+}
+
+// TestPeerWithoutMethod guards against a request that counts as possibly run although it was sent to an instance of an
+// earlier build, which does not know the method.
+func TestPeerWithoutMethod(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	go func() { _ = peerrpc.NewServer(nil).Serve(t.Context(), listener) }()
+	_, sent, err := NewClient(peerrpc.NewClient()).Forward(t.Context(), listener.Addr().String(), &Request{Origin: "o", Number: 1})
+	is.True(err != nil)
+	is.True(!sent)
+}
--- a/internal/lookup/availability.go
+++ b/internal/lookup/availability.go
@@ -55,6 +55,16 @@
 	return best
 }
 
+// isUnresponsive reports whether no replica of the group that the route allows has answered lately.
+func (g *replicaGroup) isUnresponsive(route *routing.Route, now time.Time) bool {
+	for i := range g.members {
+		if route.Allows(g.members[i].Region) && !g.members[i].health.isUnresponsive(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // shardCounts is the number of a route's shards with each availability.
 type shardCounts [availabilities]int
 
--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -50,6 +50,9 @@
 	FirstStart bool
 	// Memory accounts for the bytes that answers hold; nil means no bound.
 	Memory *memory.Account
+	// OpenedConnections returns the number of connections to replicas that have been opened so far. If it is nil, a
+	// partition from all replicas is not noticed.
+	OpenedConnections func() int64
 	// OnReplicaRemoved is called for each replica that has left the directory view; it may be nil.
 	OnReplicaRemoved func(fleet.ServerID)
 	// Random seeds the selection among replicas of equal cost.
@@ -72,9 +75,11 @@
 	extraAllowance   atomic.Pointer[Allowance]
 	memory           *memory.Account
 	onReplicaRemoved func(fleet.ServerID)
-	started          time.Time
-	firstStart       bool
-	view             atomic.Pointer[replicaView]
+	// openedConnections may be nil.
+	openedConnections func() int64
+	started           time.Time
+	firstStart        bool
+	view              atomic.Pointer[replicaView]
 	// instances is never nil.
 	instances   atomic.Pointer[instanceSet]
 	selections  atomic.Uint64 // number of selections, from a random start; varies the member at which each one begins
@@ -82,6 +87,7 @@
 	lastTrial   atomic.Int64 // Unix nanoseconds at which the last trial request was admitted
 	isolation   isolation
 	zoneMonitor zoneMonitor // used only by the goroutine of MonitorZones
+	partition   *partitionMonitor
 	counters    Counters
 	routeStats  sync.Map // *routeStats by the name of the route
 	limiters    sync.Map // *limiter by the first shard of a route
@@ -97,18 +103,20 @@
 // New returns an engine without replicas; Update supplies them.
 func New(options Options) *Engine {
 	e := &Engine{
-		zone:             options.Zone,
-		sender:           options.Sender,
-		recorder:         options.Recorder,
-		reportSighting:   options.ReportSighting,
-		memory:           options.Memory,
-		onReplicaRemoved: options.OnReplicaRemoved,
-		started:          time.Now(),
-		firstStart:       options.FirstStart,
-		replicas:         make(map[fleet.ServerID]trackedReplica),
-		zones:            make(map[fleet.ZoneID]*zoneReachability),
-		budgets:          make(map[fleet.ServiceID]*retryBudget),
-		zoneMonitor:      zoneMonitor{suspectedSince: make(map[fleet.ZoneID]time.Time)},
+		zone:              options.Zone,
+		sender:            options.Sender,
+		recorder:          options.Recorder,
+		reportSighting:    options.ReportSighting,
+		memory:            options.Memory,
+		onReplicaRemoved:  options.OnReplicaRemoved,
+		openedConnections: options.OpenedConnections,
+		started:           time.Now(),
+		firstStart:        options.FirstStart,
+		replicas:          make(map[fleet.ServerID]trackedReplica),
+		zones:             make(map[fleet.ZoneID]*zoneReachability),
+		budgets:           make(map[fleet.ServiceID]*retryBudget),
+		partition:         newPartitionMonitor(),
+		zoneMonitor:       zoneMonitor{suspectedSince: make(map[fleet.ZoneID]time.Time)},
 	}
 	e.SetExtraAllowance(options.ExtraAllowance)
 	e.selections.Store(options.Random.Uint64())
@@ -205,6 +213,10 @@
 		return Result{Failure: verdict.New(verdict.NotRun, verdict.Overloaded, "limit of %d requests in progress reached", maxRequests).WithRetryAfter(defaultRetryAfter)}
 	}
 	defer e.running.Add(-1)
+	if request.mayBeServedElsewhere() && e.Partitioned() {
+		return Result{Unreachable: true, Failure: verdict.New(verdict.NotRun, verdict.NoReplica, "this instance is partitioned from all replicas").
+			WithRetryAfter(e.callerRetryAfter(time.Now()))}
+	}
 	stats := e.routeStatsOf(request.Route)
 	if stats.memory.NearlyFull() {
 		return Result{Failure: verdict.New(verdict.NotRun, verdict.Overloaded, "no memory left for answers").WithRetryAfter(defaultRetryAfter)}
--- a/internal/lookup/fake_test.go
+++ b/internal/lookup/fake_test.go
@@ -30,6 +30,7 @@
 	silent  bool
 	hangs   bool // silent, but accepts connections
 	refuses bool // probes fail at once
+	atLimit bool // no further connection is permitted
 	outcome Outcome
 }
 
@@ -54,6 +55,7 @@
 	sends     map[fleet.ServerID]int
 	sentTo    []fleet.ServerID
 	ended     int // sends ended by their context
+	opened    atomic.Int64
 }
 
 func (b *fakeReplicas) Send(ctx context.Context, request *Request, to directory.Replica, _ SendLimits) Outcome {
@@ -88,7 +90,10 @@
 	defer b.mutex.Unlock()
 	if behaviour := b.behaviour(to.ID, time.Now()); behaviour.silent || behaviour.refuses {
 		return fmt.Errorf("no answer")
+	} else if behaviour.atLimit {
+		return verdict.New(verdict.NotRun, verdict.Overloaded, "all connections are in use")
 	}
+	b.opened.Add(1)
 	return nil
 }
 
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -48,6 +48,8 @@
 	// trial is set for a request that most likely cannot reach its floor but is sent to find out whether replicas have
 	// recovered.
 	trial bool
+	// unreachable is set if the request was refused because too few shards have a replica that is expected to answer.
+	unreachable bool
 	// limited is set if the request needed the request limit of a replica when it was last checked.
 	limited bool
 	trace   Trace
@@ -77,8 +79,11 @@
 }
 
 func (f *fanout) run() Result {
-	f.countRequest(time.Now())
-	if refusal := f.waitUntilReachable(); refusal != nil {
+	refusal := f.waitUntilReachable()
+	if !f.unreachable || !f.request.mayBeServedElsewhere() {
+		f.countRequest(time.Now()) // the instance that serves the request counts it
+	}
+	if refusal != nil {
 		return f.refuse(refusal)
 	}
 	if !f.limiter.throttle.admit() {
--- a/internal/lookup/fanout_result.go
+++ b/internal/lookup/fanout_result.go
@@ -125,7 +125,58 @@
 		f.recordOverload(time.Now())
 	}
 	f.recordMissingShards()
-	return Result{Failure: failure, Trace: f.trace}
+	return Result{Failure: failure, Unreachable: f.isUnreachable(failure), Trace: f.trace}
+}
+
+// isUnreachable reports whether another instance should serve the refused request, because this one does not reach the
+// replicas that it needs. If some parts may have run, the sends of the other instance to their shards are extra ones and
+// are charged here.
+func (f *fanout) isUnreachable(failure *verdict.Error) bool {
+	switch {
+	case failure.Reason == verdict.Cancelled || !f.unreachable && !f.connectFailed():
+		return false
+	case failure.Verdict == verdict.NotRun:
+		return true
+	}
+	return f.request.Forwardable && f.payForRepeat(time.Now())
+}
+
+// payForRepeat charges an extra send to the budget of each shard whose part may have run. It reports whether all budgets
+// permit it; otherwise nothing is charged.
+func (f *fanout) payForRepeat(now time.Time) bool {
+	view, allowed := f.engine.view.Load(), f.engine.allowance(now)
+	var charged []*retryBudget
+	for i := range f.parts {
+		g := view.groups[f.parts[i].service]
+		if f.parts[i].possibleRuns == 0 || g == nil {
+			continue
+		}
+		if !g.budget.take(now, allowed) {
+			for _, budget := range charged {
+				budget.refund()
+			}
+			return false
+		}
+		charged = append(charged, g.budget)
+	}
+	return true
+}
+
+// connectFailed reports whether some parts have no answer because no connection to a replica could be opened, and none
+// for another reason.
+func (f *fanout) connectFailed() bool {
+	found := false
+	for i := range f.parts {
+		p := &f.parts[i]
+		if p.answer != nil || p.reason == verdict.None {
+			continue
+		}
+		if p.reason != verdict.ConnectFailed {
+			return false
+		}
+		found = true
+	}
+	return found
 }
 
 func (f *fanout) mergeAnswer() Result {
--- a/internal/lookup/fanout_start.go
+++ b/internal/lookup/fanout_start.go
@@ -76,9 +76,11 @@
 		return now, nil
 	case postponed:
 		retryAfter = max(defaultRetryAfter, from.Sub(now))
-	case ok && !f.engine.Isolated() && f.engine.admitTrial(now):
+	case ok && f.engine.mayTry(f.request) && !f.engine.Isolated() && f.engine.admitTrial(now):
 		f.trial = true
 		return now, nil
+	default:
+		f.unreachable = true
 	}
 	return now, verdict.New(verdict.NotRun, verdict.NoReplica, "%d of %d shards have a replica that is expected to answer, %d are required",
 		counts.expected(), len(f.parts), f.required).WithRetryAfter(max(retryAfter, f.engine.callerRetryAfter(now)))
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -34,12 +34,19 @@
 	RemainingTime time.Duration
 	// Deadline is when the caller gives up, or when the route's timeout ends.
 	Deadline time.Time
+	// Forwardable is set if another instance may be able to serve the request, and Forwarded if another instance has
+	// forwarded it to this one. Such a request is refused at once if this instance most likely does not reach the
+	// replicas that it needs, rather than sent to find out.
+	Forwardable, Forwarded bool
 	// Memory reserves the bytes that the request and its answer hold until the answer is written; nil means no bound.
 	Memory *memory.Reservation
 	// Payload is the protocol data for the Sender; this package does not inspect it.
 	Payload any
 }
 
+// mayBeServedElsewhere reports whether another instance may serve the request if this one refuses it.
+func (r *Request) mayBeServedElsewhere() bool { return r.Forwardable || r.Forwarded }
+
 // Sender sends requests to replicas.
 type Sender interface {
 	// Send waits for the complete answer of one replica. It returns early when ctx is done or the deadline passes. It
@@ -97,6 +104,9 @@
 type Result struct {
 	// Failure is nil for a success. Its Verdict and RetryAfter are passed to the caller.
 	Failure *verdict.Error
+	// Unreachable is set if the request failed because this instance does not reach the replicas that it needs, and
+	// another instance may serve it. It may have run in part only if that does no harm.
+	Unreachable bool
 	// Answer is the answer of a single replica that is passed on. It may be an error answer.
 	Answer *Outcome
 	// Receipts, MissingShards and Records make up the merged answer of a fan-out. MissingShards is the number of shards
--- a/internal/lookup/replica_health.go
+++ b/internal/lookup/replica_health.go
@@ -333,6 +333,31 @@
 	}
 }
 
+// suspectUnlessAnswered treats the replica as silent until the given time, unless it has answered since another time.
+func (h *replicaHealth) suspectUnlessAnswered(since, until time.Time) {
+	h.mutex.Lock()
+	answered := h.lastAnswer.After(since)
+	h.mutex.Unlock()
+	if !answered {
+		h.suspectUntilAtLeast(until)
+	}
+}
+
+// recentlyHeard is how long before a partition of this instance a replica must have answered to be used at its end
+// without a probe.
+const recentlyHeard = 10 * time.Second
+
+// endSuspicionSince ends a suspicion that is due to a partition of this instance which began at the given time.
+func (h *replicaHealth) endSuspicionSince(since time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.suspectUntil.IsZero() || h.misdirected || h.lastAnswer.Before(since.Add(-recentlyHeard)) {
+		return
+	}
+	h.suspectUntil, h.unansweredSends, h.clearedByProbe = time.Time{}, 0, false
+	h.slowness = decayingAverage{}
+}
+
 // startProbe reports whether the replica should be probed now, and if so marks the probe as running. With
 // evenIfHealthy, a replica that is not known to be silent is probed as well.
 func (h *replicaHealth) startProbe(now time.Time, evenIfHealthy bool) bool {
--- a/internal/lookup/send.go
+++ b/internal/lookup/send.go
@@ -43,6 +43,9 @@
 		now := time.Now()
 		e.reportSend(send.to, send.to.health.endSend(send.sendNumber, now, &outcome), now)
 		e.recordSend(send.to, outcome.Reason, now.Sub(send.sent))
+		if outcome.Reason == verdict.ConnectFailed {
+			e.partition.recordFailure(send.to.ID, now)
+		}
 		if outcome.Unsent && send.paidFrom != nil {
 			send.paidFrom.refund()
 		}
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -27,6 +27,8 @@
 	// lastFailure is the last error answer of a replica; it is passed on if no replica succeeds.
 	lastFailure *Outcome
 	mayHaveRun  bool
+	// unreachable is set if the request was refused because no replica is expected to answer.
+	unreachable bool
 	trace       Trace
 }
 
@@ -52,6 +54,11 @@
 	if g == nil {
 		return s.refuse(verdict.New(verdict.NotRun, verdict.NoReplica, "service %s has no replica that the route allows", s.part.service).WithRetryAfter(defaultRetryAfter))
 	}
+	if !s.engine.mayTry(s.request) && g.isUnresponsive(s.request.Route, now) {
+		s.unreachable = true
+		return s.refuse(verdict.New(verdict.NotRun, verdict.NoReplica, "no replica of service %s is expected to answer", s.part.service).
+			WithRetryAfter(max(unavailableRetryAfter, s.engine.callerRetryAfter(now))))
+	}
 	g.budget.countRequest(now, s.engine.allowance(now))
 	if chosen != nil {
 		s.send(chosen, g, false, nil, now)
@@ -252,5 +259,6 @@
 
 func (s *single) refuse(failure *verdict.Error) Result {
 	s.cancel()
-	return Result{Failure: failure, Trace: s.trace}
+	unreachable := failure.Verdict == verdict.NotRun && (s.unreachable || failure.Reason == verdict.ConnectFailed)
+	return Result{Failure: failure, Unreachable: unreachable, Trace: s.trace}
 }
--- a/internal/lookup/zone_monitor.go
+++ b/internal/lookup/zone_monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"iter"
 	"slices"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/internal/panics"
 	"github.com/medlarlatch/medlarlatch/internal/routing"
+	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
 const (
@@ -38,7 +40,8 @@
 	balancerDelay = 2200 * time.Millisecond
 )
 
-// Prober checks whether a replica accepts connections.
+// Prober checks whether a replica accepts connections. An error with the reason verdict.Overloaded means that no further
+// connection is permitted, which says nothing about the replica.
 type Prober interface {
 	Probe(ctx context.Context, to directory.Replica) error
 }
@@ -166,6 +169,7 @@
 
 func (e *Engine) checkZones(ctx context.Context, prober Prober, now time.Time) {
 	defer panics.Recover("monitor zones", nil)
+	e.checkPartition(ctx, prober, now)
 	e.updateZones(ctx, prober, now)
 	e.probeSilent(ctx, prober, now)
 }
@@ -240,7 +244,11 @@
 		defer panics.Recover("probe replica", nil)
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		reached = prober.Probe(probeCtx, m.Replica) == nil
+		err := prober.Probe(probeCtx, m.Replica)
+		reached = err == nil
+		if failure, ok := errors.AsType[*verdict.Error](err); err != nil && !(ok && failure.Reason == verdict.Overloaded) {
+			e.partition.recordFailure(m.ID, time.Now())
+		}
 	}()
 }
 
--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -107,3 +107,39 @@
 func (rejectCalls) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
 	respond(ctx, conn, request, nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"})
 }
+
+// Connection is the client's connection to one peer, for calls that end independently of each other.
+type Connection struct {
+	client  *Client
+	address string
+	conn    *jsonrpc2.Conn
+}
+
+// Connect returns the open connection to the address, or a new one if there is none.
+func (c *Client) Connect(ctx context.Context, address string) (*Connection, error) {
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &Connection{c, address, conn}, nil
+}
+
+// Call calls a method of the peer. Unlike Client.Call it leaves the connection open if ctx ends or the peer answers with
+// an error, because other calls may be in progress on it.
+func (c *Connection) Call(ctx context.Context, method string, params, result any) error {
+	return eris.Wrapf(c.conn.Call(ctx, method, params, result), "call method %s of peer %s", method, c.address)
+}
+
+// Notify calls a method of the peer without waiting for its end.
+func (c *Connection) Notify(ctx context.Context, method string, params any) error {
+	return eris.Wrapf(c.conn.Notify(ctx, method, params), "notify peer %s of %s", c.address, method)
+}
+
+// Drop closes the connection. The calls in progress on it fail.
+func (c *Connection) Drop() { c.client.drop(c.address, c.conn) }
+
+// IsRefusal reports whether the peer answered a call with an error, so that it did not run the method to its end.
+func IsRefusal(err error) bool {
+	_, refused := errors.AsType[*jsonrpc2.Error](err)
+	return refused
+}
--- a/internal/peerrpc/peerrpc.go
+++ b/internal/peerrpc/peerrpc.go
@@ -10,7 +10,7 @@
 
 const (
 	// maxCallBytes is the maximum size of a frame that a Server reads. Calls carry positions in a sequence of updates,
-	// or batches of sightings.
+	// batches of sightings, or a caller's request.
 	maxCallBytes = 64 << 10
 	// maxResponseBytes is the maximum size of a frame that a Client reads. The largest response is the whole directory:
 	// a few hundred bytes for each of several thousand replicas, and a configuration of at most 1 MiB.
@@ -19,8 +19,8 @@
 	// in a zone at the target size, which is 433.
 	maxConnections = 512
 	// maxCallsPerConnection is the maximum number of calls in progress on one connection. A peer makes one call at a
-	// time for each method.
-	maxCallsPerConnection = 8
+	// time for each method, except that it forwards as many requests as its callers send.
+	maxCallsPerConnection = 32
 	// idleTimeout is the time without a frame after which an accepted connection is closed. A peer that uses its
 	// connection calls every few seconds.
 	idleTimeout = time.Minute
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -43,9 +43,12 @@
 			klog.InfoS("Peer connection refused at the connection limit", "connections", maxConnections, "remote", raw.RemoteAddr())
 			_ = raw.Close() // There is no one to report an error to.
 		default:
-			conn := jsonrpc2.NewConn(ctx, newStream(raw, maxCallBytes, idleTimeout), s.newConnHandler())
+			// The calls of a peer that has closed its connection, or has ended, are cancelled.
+			connCtx, cancel := context.WithCancel(ctx)
+			conn := jsonrpc2.NewConn(connCtx, newStream(raw, maxCallBytes, idleTimeout), s.newConnHandler())
 			go func() {
 				<-conn.DisconnectNotify()
+				cancel()
 				s.releaseConnection()
 			}()
 		}
