lookup: pass on requests in progress whose replicas have fallen silent

Callers saw: in the second after an instance had lost its links, idempotent requests waited for silent replicas until their deadlines; and where connections were accepted but nothing came back, each request to one replica was sent to find out whether it answers again, one after the other.

Cause: only requests that had not been sent were forwarded, and a replica whose suspicion had ended got the next request as a trial, although another instance could serve it.

Change: an idempotent request that waits for replicas which do not answer is forwarded. The sends of the other instance are charged to the allowance of extra sends. A replica that has not answered since a suspicion is doubtful for requests that another instance may serve, until a probe has cleared it.

--- a/internal/lookup/availability.go
+++ b/internal/lookup/availability.go
@@ -55,6 +55,17 @@
 	return best
 }
 
+// isDoubtful reports whether no replica of the group that the route allows is certain enough to answer a request that
+// another instance may serve.
+func (g *replicaGroup) isDoubtful(route *routing.Route, now time.Time) bool {
+	for i := range g.members {
+		if route.Allows(g.members[i].Region) && !g.members[i].health.isDoubtful(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // isUnresponsive reports whether no replica of the group that the route allows has answered lately.
 func (g *replicaGroup) isUnresponsive(route *routing.Route, now time.Time) bool {
 	for i := range g.members {
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -50,6 +50,8 @@
 	trial bool
 	// unreachable is set if the request was refused because too few shards have a replica that is expected to answer.
 	unreachable bool
+	// silent is set if the request was given up because too many of its parts wait for replicas that do not answer.
+	silent bool
 	// limited is set if the request needed the request limit of a replica when it was last checked.
 	limited bool
 	trace   Trace
--- a/internal/lookup/fanout_result.go
+++ b/internal/lookup/fanout_result.go
@@ -23,6 +23,7 @@
 	case !now.Before(f.giveUpAt):
 		return f.refuse(f.belowFloorError("too few shards answered before the deadline")), true
 	case ticked && f.answered+f.answerableParts(now) < f.required:
+		f.silent = true
 		return f.refuse(f.belowFloorError("too few shards have a replica that is expected to answer")), true
 	}
 	return Result{}, false
@@ -133,7 +134,7 @@
 // are charged here.
 func (f *fanout) isUnreachable(failure *verdict.Error) bool {
 	switch {
-	case failure.Reason == verdict.Cancelled || !f.unreachable && !f.connectFailed():
+	case failure.Reason == verdict.Cancelled || !f.unreachable && !f.silent && !f.connectFailed():
 		return false
 	case failure.Verdict == verdict.NotRun:
 		return true
--- a/internal/lookup/partition_monitor_test.go
+++ b/internal/lookup/partition_monitor_test.go
@@ -228,3 +228,58 @@
 		})
 	}
 }
+
+// TestSilentConnections guards against requests that wait until their deadlines, one after the other, because replicas
+// accept connections but answer no request of this instance, while another instance may serve them.
+func TestSilentConnections(t *testing.T) {
+	for name, idempotent := range map[string]bool{"may run again": true, "may run once only": false} {
+		t.Run(name, func(t *testing.T) {
+			runInBubble(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newTestEngine(t, func(fleet.ServerID, time.Time) replicaBehaviour { return replicaBehaviour{hangs: true} })
+				s.engine.openedConnections = s.opened.Load
+				s.singleRoute.Idempotent, s.singleRoute.Timeout = idempotent, 2*time.Second
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				go s.engine.MonitorZones(ctx, s)
+				const warmUp, requests = 10, 100
+				lost := 0
+				for i := range warmUp + requests {
+					if result := s.runForwardable(s.singleRoute, false); i >= warmUp && (!result.Unreachable || result.took > s.singleRoute.Timeout/2) {
+						lost++
+					}
+					time.Sleep(500 * time.Millisecond)
+				}
+				t.Log(lost, "requests lost")
+				is.True(lost <= requests/20)
+			})
+		})
+	}
+}
+
+// TestForwardedAfterPartition guards against requests that were sent before this instance was found to be partitioned
+// and wait until their deadlines for replicas that it does not reach.
+func TestForwardedAfterPartition(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		from := time.Now().Add(time.Second)
+		s := newTestEngine(t, func(_ fleet.ServerID, now time.Time) replicaBehaviour {
+			if now.Before(from) {
+				return good(work)
+			}
+			return replicaBehaviour{silent: true}
+		})
+		s.engine.openedConnections = s.opened.Load
+		s.singleRoute.Timeout = 4 * time.Second
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go s.engine.MonitorZones(ctx, s)
+		go s.runLoad(s.fanoutRoute, 45*time.Millisecond, 3*time.Second)
+		time.Sleep(time.Until(from) + time.Millisecond)
+		for _, route := range []*routing.Route{s.fanoutRoute, s.singleRoute} {
+			result := s.runForwardable(route, false)
+			is.True(result.Unreachable)
+			is.True(result.took < 1500*time.Millisecond)
+		}
+	})
+}
--- a/internal/lookup/replica_health.go
+++ b/internal/lookup/replica_health.go
@@ -333,6 +333,17 @@
 	}
 }
 
+// doubtTime is how long after a suspicion has ended a replica that accepts connections and has answered no request since
+// is still not sent requests that another instance may serve.
+const doubtTime = 30 * time.Second
+
+// isDoubtful reports whether the replica is unresponsive or was so lately and has not answered since.
+func (h *replicaHealth) isDoubtful(now time.Time) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.unresponsiveLocked(now) || h.unansweredSends > 0 && h.clearedByProbe && now.Before(h.suspectUntil.Add(doubtTime))
+}
+
 // suspectUnlessAnswered treats the replica as silent until the given time, unless it has answered since another time.
 func (h *replicaHealth) suspectUnlessAnswered(since, until time.Time) {
 	h.mutex.Lock()
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -11,6 +11,10 @@
 // hedged.
 const singleHedgeDelayShare = 0.6
 
+// silenceCheckInterval is how often a request to a single replica that another instance may serve checks whether the
+// replicas of the service still answer.
+const silenceCheckInterval = 50 * time.Millisecond
+
 // single is the state of one request to a single replica. Only the goroutine that called Engine.Run uses it.
 type single struct {
 	engine *Engine
@@ -54,7 +58,7 @@
 	if g == nil {
 		return s.refuse(verdict.New(verdict.NotRun, verdict.NoReplica, "service %s has no replica that the route allows", s.part.service).WithRetryAfter(defaultRetryAfter))
 	}
-	if !s.engine.mayTry(s.request) && g.isUnresponsive(s.request.Route, now) {
+	if !s.engine.mayTry(s.request) && g.isUnresponsive(s.request.Route, now) || s.request.mayBeServedElsewhere() && g.isDoubtful(s.request.Route, now) {
 		s.unreachable = true
 		return s.refuse(verdict.New(verdict.NotRun, verdict.NoReplica, "no replica of service %s is expected to answer", s.part.service).
 			WithRetryAfter(max(unavailableRetryAfter, s.engine.callerRetryAfter(now))))
@@ -84,6 +88,10 @@
 		if !now.Before(s.giveUpAt) {
 			return s.refuse(verdict.New(s.verdict(), verdict.DeadlinePassed, "no replica answered before the deadline"))
 		}
+		if s.shouldForward(now) {
+			s.unreachable = true
+			return s.refuse(verdict.New(s.verdict(), verdict.NoReplica, "the replicas of service %s that were sent the request do not answer", s.part.service))
+		}
 		if result, ended := s.check(now); ended {
 			return result
 		}
@@ -100,9 +108,24 @@
 	if at, ok := s.hedgeAt(); ok && at.Before(next) {
 		next = at
 	}
+	if s.request.Forwardable && s.request.Route.Idempotent {
+		if check := now.Add(silenceCheckInterval); check.Before(next) {
+			next = check
+		}
+	}
 	return max(next.Sub(now), time.Millisecond)
 }
 
+// shouldForward reports whether another instance should serve a request that has been sent, because no replica of the
+// service answers this instance. The send of the other instance is an extra one and is charged here.
+func (s *single) shouldForward(now time.Time) bool {
+	if !s.request.Forwardable || !s.request.Route.Idempotent || !s.part.inFlight() {
+		return false
+	}
+	g := s.engine.view.Load().groups[s.part.service]
+	return g != nil && g.isUnresponsive(s.request.Route, now) && g.budget.take(now, s.engine.allowance(now))
+}
+
 func (s *single) send(to *member, g *replicaGroup, hedge bool, paidFrom *retryBudget, now time.Time) {
 	send := &replicaSend{to: to, sent: now, expected: s.expected, hedge: hedge, paidFrom: paidFrom}
 	s.part.sends = append(s.part.sends, send)
@@ -259,6 +282,6 @@
 
 func (s *single) refuse(failure *verdict.Error) Result {
 	s.cancel()
-	unreachable := failure.Verdict == verdict.NotRun && (s.unreachable || failure.Reason == verdict.ConnectFailed)
+	unreachable := s.unreachable || failure.Verdict == verdict.NotRun && failure.Reason == verdict.ConnectFailed
 	return Result{Failure: failure, Unreachable: unreachable, Trace: s.trace}
 }
