soak: instances partitioned from all replicas, as real processes

The proxy in front of a replica tells the instances apart by the process that holds the other side of a connection. A proxy accepts connections before it knows whose they are, so refused connections are left to TestInstanceWithoutReplicas.

--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -35,6 +35,9 @@
 	listener net.Listener
 	// forward is the state of the direction from the client to the target, backward that of the other direction.
 	forward, backward atomic.Int32
+	// clientState returns the state of a client, Open or Silent, which applies to both directions of its connections; it
+	// may be nil.
+	clientState func(client net.Addr) *atomic.Int32
 
 	mutex sync.Mutex
 	// connections holds the open connections of both sides.
@@ -45,11 +48,16 @@
 
 // Listen starts a link to a target address. Each direction delays bytes by the given duration.
 func Listen(target string, delay time.Duration) (*Link, error) {
+	return ListenPerClient(target, delay, nil)
+}
+
+// ListenPerClient is Listen with a function that returns the State of a client, which applies beside those of the link.
+func ListenPerClient(target string, delay time.Duration, clientState func(client net.Addr) *atomic.Int32) (*Link, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{target: target, listener: listener, connections: make(map[net.Conn]bool), closed: make(chan struct{})}
+	l := &Link{target: target, clientState: clientState, listener: listener, connections: make(map[net.Conn]bool), closed: make(chan struct{})}
 	l.SetDelay(delay)
 	go l.accept()
 	return l, nil
@@ -130,8 +138,12 @@
 // both directions have ended.
 func (l *Link) connect(client net.Conn) {
 	defer l.unregister(client)
+	own := new(atomic.Int32)
+	if l.clientState != nil {
+		own = l.clientState(client.RemoteAddr())
+	}
 	fromClient := l.startReading(client)
-	for l.forward.Load() != int32(Open) || l.backward.Load() != int32(Open) {
+	for l.forward.Load() != int32(Open) || l.backward.Load() != int32(Open) || State(own.Load()) == Silent {
 		if fromClient.ended.Load() || !l.waitPollInterval() {
 			return // the client closed the connection before it was made, or the link was closed
 		}
@@ -145,8 +157,8 @@
 	}
 	defer l.unregister(target)
 	var group sync.WaitGroup
-	group.Go(func() { l.deliver(target, fromClient, &l.forward) })
-	group.Go(func() { l.deliver(client, l.startReading(target), &l.backward) })
+	group.Go(func() { l.deliver(target, fromClient, &l.forward, own) })
+	group.Go(func() { l.deliver(client, l.startReading(target), &l.backward, own) })
 	group.Wait()
 }
 
@@ -198,25 +210,28 @@
 
 // deliver writes the bytes of an input to a connection and closes it after the last byte. If bytes were lost or
 // the direction is silent at the end, it does not deliver the end of the connection either.
-func (l *Link) deliver(to net.Conn, in *input, direction *atomic.Int32) {
+func (l *Link) deliver(to net.Conn, in *input, direction, own *atomic.Int32) {
 	lost := false
 	for next := range in.chunks {
 		time.Sleep(time.Until(next.due))
-		if lost = lost || !l.waitUntilDeliverable(direction); lost {
+		if lost = lost || !l.waitUntilDeliverable(direction, own); lost {
 			continue
 		}
 		if _, err := to.Write(next.bytes); err != nil {
 			lost = true
 		}
 	}
-	if !lost && l.waitUntilDeliverable(direction) {
+	if !lost && l.waitUntilDeliverable(direction, own) {
 		_ = to.Close()
 	}
 }
 
-// waitUntilDeliverable waits while the direction is held and reports whether it is then open.
-func (l *Link) waitUntilDeliverable(direction *atomic.Int32) bool {
+// waitUntilDeliverable waits while the direction is held and reports whether it is then open for the client.
+func (l *Link) waitUntilDeliverable(direction, own *atomic.Int32) bool {
 	for {
+		if State(own.Load()) == Silent {
+			return false
+		}
 		switch State(direction.Load()) {
 		case Open:
 			return true
