--- a/internal/lookup/partition_monitor_test.go
+++ b/internal/lookup/partition_monitor_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -283,3 +285,36 @@
 		}
 	})
 }
+
+// TestForwardedLoadIsShared guards against an instance that serves its own callers worse than those of the instances
+// that forward requests to it, while all together send more than the replicas can serve.
+func TestForwardedLoadIsShared(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestEngine(t, nil)
+		s.engine.sender = &queueingReplicas{slots: make(map[fleet.ServerID]chan struct{}), random: rand.New(rand.NewPCG(3, 4))}
+		s.engine.SetInstances("i0", instanceNames(1))
+		served, sent := map[bool]int{}, map[bool]int{}
+		var mutex sync.Mutex
+		var running sync.WaitGroup
+		for i := range 1200 { // 300 requests a second for 4 s, two thirds of them forwarded
+			running.Go(func() {
+				forwarded := i%3 != 0
+				now := time.Now()
+				result := s.engine.Run(context.Background(), &Request{ID: fmt.Sprint(i), Route: s.fanoutRoute, ArrivedAt: now, Deadline: now.Add(timeout), Forwarded: forwarded})
+				mutex.Lock()
+				defer mutex.Unlock()
+				sent[forwarded]++
+				if result.Failure == nil {
+					served[forwarded]++
+				}
+			})
+			time.Sleep(4 * time.Second / 1200)
+		}
+		running.Wait()
+		own, others := float64(served[false])/float64(sent[false]), float64(served[true])/float64(sent[true])
+		t.Logf("served %.2f of its own and %.2f of the forwarded requests", own, others)
+		is.True(own >= 0.9*others)
+		is.True(own < 0.95) // the load is more than the replicas can serve
+	})
+}
