forwarding, lookup: a forwarded request keeps the attempts of its route

Replicas get more of the same work than operators allow.

Cause: passed on requests that had been sent. The instance that was asked counted the attempts anew, and a request was sent to a further instance when one had not answered.

Change: the number of attempts that may have been used goes along, and a request without one left is not forwarded. After an instance that was reached and did not answer, no other one is asked.

--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -78,8 +78,8 @@
 }
 
 // Forward asks instances to serve the request until one has, or may have. If the result has neither a reply nor a
-// failure, the request has not run and will not. An idempotent request is sent to another instance if one does not
-// answer.
+// failure, the request has not run and will not. It is not sent to another instance if one that it has reached does not
+// answer, because the attempts that the route allows may have been used there.
 func (f *Forwarder) Forward(ctx context.Context, route *routing.Route, request Request, deadline time.Time) (result Result) {
 	f.inProgress.Add(1)
 	defer f.inProgress.Add(-1)
@@ -110,7 +110,7 @@
 		f.helpers.Silent(helper.ID, time.Now())
 		klog.InfoS("Instance did not serve a forwarded request", "instance", helper.ID, "sent", sent, "err", err)
 		mayHaveRun = mayHaveRun || sent
-		if sent && !route.Idempotent {
+		if sent {
 			break
 		}
 	}
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -18,6 +18,8 @@
 	Number uint64 `json:"number"`
 	// Message is the request in the form of HTTP/1.1, with a Content-Length if it has a body.
 	Message []byte `json:"message"`
+	// AttemptsUsed is the number of replicas of each shard at which the request may have run already.
+	AttemptsUsed int `json:"attempts-used,omitempty"`
 	// RemainingMillis is the time until the deadline.
 	RemainingMillis float64 `json:"remaining-millis"`
 }
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -50,8 +50,6 @@
 	trial bool
 	// unreachable is set if the request was refused because too few shards have a replica that is expected to answer.
 	unreachable bool
-	// silent is set if the request was given up because too many of its parts wait for replicas that do not answer.
-	silent bool
 	// limited is set if the request needed the request limit of a replica when it was last checked.
 	limited bool
 	trace   Trace
@@ -66,7 +64,7 @@
 		giveUpAt: request.Deadline.Add(-deadlineMargin),
 		required: requiredShards(route),
 		parts:    make([]part, len(route.Shards)),
-		results:  make(chan sendResult, len(route.Shards)*(max(route.MaxAttempts, 1)+maxUnrunSends)),
+		results:  make(chan sendResult, len(route.Shards)*(request.maxAttempts()+maxUnrunSends)),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	f.detachCaller = context.AfterFunc(ctx, f.cancel)
@@ -206,7 +204,7 @@
 // retry sends a part again after a failure: at once to another replica, or after a delay to one that rejected it.
 func (f *fanout) retry(i int, now time.Time) {
 	p := &f.parts[i]
-	attempts := max(f.request.Route.MaxAttempts, 1)
+	attempts := f.request.maxAttempts()
 	if p.possibleRuns >= attempts || len(p.sends) >= attempts+maxUnrunSends {
 		f.fail(p, p.reason)
 		return
@@ -270,7 +268,7 @@
 // wantsHedge reports whether a part should be hedged now. It returns false if the part was already hedged or has used
 // up the route's attempts, and once the merged answer is due.
 func (f *fanout) wantsHedge(p *part, now time.Time) bool {
-	if len(p.sends) == 0 || p.possibleRuns >= f.request.Route.MaxAttempts || now.After(f.answerDueAt) {
+	if len(p.sends) == 0 || p.possibleRuns >= f.request.maxAttempts() || now.After(f.answerDueAt) {
 		return false
 	}
 	last := p.sends[len(p.sends)-1]
--- a/internal/lookup/fanout_result.go
+++ b/internal/lookup/fanout_result.go
@@ -23,7 +23,6 @@
 	case !now.Before(f.giveUpAt):
 		return f.refuse(f.belowFloorError("too few shards answered before the deadline")), true
 	case ticked && f.answered+f.answerableParts(now) < f.required:
-		f.silent = true
 		return f.refuse(f.belowFloorError("too few shards have a replica that is expected to answer")), true
 	}
 	return Result{}, false
@@ -126,20 +125,28 @@
 		f.recordOverload(time.Now())
 	}
 	f.recordMissingShards()
-	return Result{Failure: failure, Unreachable: f.isUnreachable(failure), Trace: f.trace}
+	return Result{Failure: failure, Unreachable: f.isUnreachable(failure), AttemptsUsed: f.attemptsUsed(), Trace: f.trace}
+}
+
+// attemptsUsed returns the largest number of replicas at which a part may have run.
+func (f *fanout) attemptsUsed() (most int) {
+	for i := range f.parts {
+		most = max(most, f.parts[i].possibleRuns)
+	}
+	return most
 }
 
 // isUnreachable reports whether another instance should serve the refused request, because this one does not reach the
 // replicas that it needs. If some parts may have run, the sends of the other instance to their shards are extra ones and
-// are charged here.
+// are charged here; they count towards the attempts of the route.
 func (f *fanout) isUnreachable(failure *verdict.Error) bool {
 	switch {
-	case failure.Reason == verdict.Cancelled || !f.unreachable && !f.silent && !f.connectFailed():
+	case failure.Reason == verdict.Cancelled || !f.unreachable && !f.connectFailed():
 		return false
 	case failure.Verdict == verdict.NotRun:
 		return true
 	}
-	return f.request.Forwardable && f.payForRepeat(time.Now())
+	return f.request.Forwardable && f.attemptsUsed() < f.request.Route.MaxAttempts && f.payForRepeat(time.Now())
 }
 
 // payForRepeat charges an extra send to the budget of each shard whose part may have run. It reports whether all budgets
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -38,12 +38,17 @@
 	// forwarded it to this one. Such a request is refused at once if this instance most likely does not reach the
 	// replicas that it needs, rather than sent to find out.
 	Forwardable, Forwarded bool
+	// AttemptsUsed is the number of replicas of each shard at which the request may have run before it was forwarded.
+	AttemptsUsed int
 	// Memory reserves the bytes that the request and its answer hold until the answer is written; nil means no bound.
 	Memory *memory.Reservation
 	// Payload is the protocol data for the Sender; this package does not inspect it.
 	Payload any
 }
 
+// maxAttempts returns the number of replicas of each shard at which this instance may run the request.
+func (r *Request) maxAttempts() int { return max(r.Route.MaxAttempts-r.AttemptsUsed, 1) }
+
 // mayBeServedElsewhere reports whether another instance may serve the request if this one refuses it.
 func (r *Request) mayBeServedElsewhere() bool { return r.Forwardable || r.Forwarded }
 
@@ -107,6 +112,8 @@
 	// Unreachable is set if the request failed because this instance does not reach the replicas that it needs, and
 	// another instance may serve it. It may have run in part only if that does no harm.
 	Unreachable bool
+	// AttemptsUsed is the number of replicas of a shard at which an unreachable request may have run.
+	AttemptsUsed int
 	// Answer is the answer of a single replica that is passed on. It may be an error answer.
 	Answer *Outcome
 	// Receipts, MissingShards and Records make up the merged answer of a fan-out. MissingShards is the number of shards
