--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -85,7 +85,6 @@
 	defer f.inProgress.Add(-1)
 	request.Origin = f.self
 	var tried []fleet.InstanceID
-	mayHaveRun := false
 	for len(tried) < maxTries && time.Now().Before(deadline) {
 		helper, ok := f.helpers.Choose(route.Name, tried, time.Now())
 		if !ok {
@@ -109,16 +108,12 @@
 		}
 		f.helpers.Silent(helper.ID, time.Now())
 		klog.InfoS("Instance did not serve a forwarded request", "instance", helper.ID, "sent", sent, "err", err)
-		mayHaveRun = mayHaveRun || sent
 		if sent {
-			break
+			f.counters.Failed.Add(1)
+			result.Failure = verdict.New(verdict.MayHaveRun, verdict.PeerUnreachable, "no answer from instance %s, to which the request was forwarded", helper.ID)
+			return result
 		}
 	}
-	if mayHaveRun {
-		f.counters.Failed.Add(1)
-		result.Failure = verdict.New(verdict.MayHaveRun, verdict.PeerUnreachable, "no answer from the instance that the request was forwarded to")
-		return result
-	}
 	f.counters.Refused.Add(1)
 	f.helpers.Exhausted(route.Name, time.Now())
 	return result
