--- a/internal/lookup/partition_monitor.go
+++ b/internal/lookup/partition_monitor.go
@@ -125,8 +125,8 @@
 
 // checkPartition updates whether this instance is partitioned from all replicas. While that is suspected it probes
 // replicas, first those that are not known to be silent. Once it is certain, replicas that have not answered since, over
-// an old connection, are suspected of being silent at once, so that no request has to find out. At the end of a partition the suspicions that it caused end as
-// well, so that the instance uses its own connections again at once.
+// an old connection, are suspected of being silent at once, so that no request has to find out. At the end of a partition
+// the suspicions that it caused end as well, so that the instance uses its own connections again at once.
 func (e *Engine) checkPartition(ctx context.Context, prober Prober, now time.Time) {
 	if e.openedConnections == nil {
 		return
