forwarding: a request that fails at the instance that was asked was not served

Seen: in TestHostile beside two runs of all tests (load 26 to 44 on 8 processors) 10 to 13 of 28 to 33 requests to replicas that answer without end were forwarded, and ran at the other instances, at each of which they failed as well.

Cause: an answer with 502 or 504 of the instance that was asked counted as served, so that this instance was preferred and the route never paused.

Evidence: the logs of four such runs. TestForwardFailures fails with the old counting, and with a pause after a single failure.

Change: only an answer, or an error answer of a replica, counts as served. After three consecutive failures the route is not forwarded for a while.

--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -95,8 +95,7 @@
 		reply, sent, err := f.ask(ctx, helper, request, deadline)
 		switch now := time.Now(); {
 		case err == nil && !reply.Refused:
-			f.helpers.Served(route.Name, helper.ID, now)
-			f.counters.Served.Add(1)
+			f.recordAnswer(route, helper, &reply, now)
 			result.Reply, result.By = &reply, helper.ID
 			return result
 		case err == nil:
@@ -110,6 +109,7 @@
 		klog.InfoS("Instance did not serve a forwarded request", "instance", helper.ID, "sent", sent, "err", err)
 		if sent {
 			f.counters.Failed.Add(1)
+			f.helpers.Failed(route.Name, helper.ID, time.Now())
 			result.Failure = verdict.New(verdict.MayHaveRun, verdict.PeerUnreachable, "no answer from instance %s, to which the request was forwarded", helper.ID)
 			return result
 		}
@@ -119,6 +119,17 @@
 	return result
 }
 
+// recordAnswer records an answer of an instance. The error answer of a replica shows that the instance reaches it.
+func (f *Forwarder) recordAnswer(route *routing.Route, helper directory.Instance, reply *Reply, now time.Time) {
+	if reply.Reason == verdict.None || reply.Reason == verdict.ServerError {
+		f.helpers.Served(route.Name, helper.ID, now)
+		f.counters.Served.Add(1)
+		return
+	}
+	f.helpers.Failed(route.Name, helper.ID, now)
+	f.counters.Failed.Add(1)
+}
+
 // ask sends the request to one instance.
 func (f *Forwarder) ask(ctx context.Context, helper directory.Instance, request Request, deadline time.Time) (reply Reply, sent bool, err error) {
 	callCtx, cancel := context.WithDeadline(ctx, deadline.Add(replySlack))
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -241,3 +241,47 @@
 		is.True(time.Since(began) <= time.Second+replySlack)
 	})
 }
+
+// TestForwardFailures guards against a route that goes on being forwarded although its requests fail at every instance,
+// so that replicas which harm one instance harm all of them; and against a route that is not forwarded because single
+// requests fail.
+func TestForwardFailures(t *testing.T) {
+	fails := serves
+	fails.reply.Reason = verdict.CoverageBelowFloor
+	for name, test := range map[string]struct {
+		failing     func(request int) bool
+		least, most int // of 1000 requests
+	}{
+		"each fails":       {func(int) bool { return true }, 10, 60},
+		"one in ten fails": {func(request int) bool { return request%10 == 0 }, 1000, 1000},
+		"errors of replicas": {func(int) bool {
+			return false
+		}, 1000, 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				answers := serves
+				if name == "errors of replicas" {
+					answers.reply.Reason = verdict.ServerError
+				}
+				f, p := newForwarder(1, answers, answers, answers)
+				route := &routing.Route{Name: "r", Idempotent: true}
+				for i := range 1000 { // 50 requests a second
+					for address := range p.behaviour {
+						p.behaviour[address] = answers
+						if test.failing(i) {
+							p.behaviour[address] = fails
+						}
+					}
+					if f.Available(route, 100) {
+						is.True(f.Forward(t.Context(), route, Request{}, time.Now().Add(time.Second)).Reply != nil)
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				is.True(len(p.asked) >= test.least)
+				is.True(len(p.asked) <= test.most)
+			})
+		})
+	}
+}
--- a/internal/forwarding/helpers.go
+++ b/internal/forwarding/helpers.go
@@ -27,6 +27,9 @@
 	// refused. It doubles with each consecutive time.
 	minPause = 250 * time.Millisecond
 	maxPause = 2 * time.Second
+	// maxFailures is the number of consecutive requests of a route that failed at the instances that were asked, from
+	// which the route is not forwarded for a while. A few fail for other reasons than their replicas.
+	maxFailures = 3
 	// maxRoutes bounds the routes of which the state is kept.
 	maxRoutes = 1000
 )
@@ -47,7 +50,8 @@
 	refusedUntil map[fleet.InstanceID]time.Time
 	servedAt     map[fleet.InstanceID]time.Time
 	pausedUntil  time.Time
-	exhausted    int // consecutive requests that no instance served
+	exhausted    int // consecutive times that the route was paused
+	failures     int // consecutive requests that failed at the instance that was asked
 }
 
 // NewHelpers returns a Helpers that knows no instances.
@@ -113,7 +117,18 @@
 	state := h.route(route)
 	state.servedAt[id] = now
 	delete(state.refusedUntil, id)
-	state.exhausted, h.helped = 0, true
+	state.exhausted, state.failures, h.helped = 0, 0, true
+}
+
+// Failed records that a request of the route failed at the instance, or at the replicas that it asked.
+func (h *Helpers) Failed(route string, id fleet.InstanceID, now time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	state := h.route(route)
+	delete(state.servedAt, id)
+	if state.failures++; state.failures >= maxFailures {
+		h.pause(state, now)
+	}
 }
 
 // Refused records that the instance refused a request of the route. For an instance without room, retryAfter is the
@@ -145,7 +160,11 @@
 func (h *Helpers) Exhausted(route string, now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	state := h.route(route)
+	h.pause(h.route(route), now)
+}
+
+// pause keeps a route from being forwarded for a while. The caller holds the mutex.
+func (h *Helpers) pause(state *routeHelpers, now time.Time) {
 	state.pausedUntil = now.Add(min(minPause<<min(state.exhausted, 10), maxPause))
 	state.exhausted++
 	h.helped = false
