lookup, forwarding: ask whether a request can be forwarded only when it matters

Callers paid for each request, also while everything was well: a lock shared by all requests, a walk over all instances and 65 kB of garbage, 38.7 to 44.6 µs among the 433 instances of a zone of the target size. The whole subrequest may cost 40 µs.

Cause: the handler decided before each request whether another instance could serve it.

Change: the engine asks when this instance most likely cannot serve the request. The answer needs no allocation, 25 to 27 ns (BenchmarkAvailable). The state of the partition is read without a lock.

--- a/internal/forwarding/forward_bench_test.go
+++ b/internal/forwarding/forward_bench_test.go
@@ -3,11 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/medlarlatch/medlarlatch/internal/directory"
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/internal/peerrpc"
 )
 
@@ -33,3 +38,19 @@
 		}
 	}
 }
+
+// BenchmarkAvailable measures the decision whether a request can be forwarded, among the 433 instances of a zone of the
+// target size.
+func BenchmarkAvailable(b *testing.B) {
+	helpers := NewHelpers(rand.New(rand.NewPCG(1, 1)))
+	var instances []directory.Instance
+	for i := range 433 {
+		instances = append(instances, directory.Instance{ID: fleet.InstanceID(fmt.Sprint("i", i)), PeerAddress: "x"})
+	}
+	helpers.SetInstances(instances)
+	now := time.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		helpers.Available("r", now)
+	}
+}
--- a/internal/forwarding/helpers.go
+++ b/internal/forwarding/helpers.go
@@ -77,8 +77,15 @@
 
 // Available reports whether an instance can be asked for the route now.
 func (h *Helpers) Available(route string, now time.Time) bool {
-	_, ok := h.Choose(route, nil, now)
-	return ok
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	state := h.route(route)
+	return !now.Before(state.pausedUntil) && slices.ContainsFunc(h.instances, func(i directory.Instance) bool { return h.mayAsk(state, i.ID, now) })
+}
+
+// mayAsk reports whether the instance can be asked for the route now. The caller holds the mutex.
+func (h *Helpers) mayAsk(state *routeHelpers, id fleet.InstanceID, now time.Time) bool {
+	return !now.Before(h.silentUntil[id]) && !now.Before(state.refusedUntil[id])
 }
 
 // Choose returns the instance to ask next for the route; ok is false if there is none that can be asked now and is not
@@ -93,7 +100,7 @@
 	var serving, unknown []directory.Instance
 	for _, instance := range h.instances {
 		switch id := instance.ID; {
-		case slices.Contains(tried, id) || now.Before(h.silentUntil[id]) || now.Before(state.refusedUntil[id]):
+		case slices.Contains(tried, id) || !h.mayAsk(state, id, now):
 		case now.Sub(state.servedAt[id]) < servedMemory:
 			serving = append(serving, instance)
 		default:
--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -213,7 +213,7 @@
 		return Result{Failure: verdict.New(verdict.NotRun, verdict.Overloaded, "limit of %d requests in progress reached", maxRequests).WithRetryAfter(defaultRetryAfter)}
 	}
 	defer e.running.Add(-1)
-	if request.mayBeServedElsewhere() && e.Partitioned() {
+	if e.Partitioned() && request.mayBeServedElsewhere() {
 		return Result{Unreachable: true, Failure: verdict.New(verdict.NotRun, verdict.NoReplica, "this instance is partitioned from all replicas").
 			WithRetryAfter(e.callerRetryAfter(time.Now()))}
 	}
--- a/internal/lookup/fanout_result.go
+++ b/internal/lookup/fanout_result.go
@@ -146,7 +146,7 @@
 	case failure.Verdict == verdict.NotRun:
 		return true
 	}
-	return f.request.Forwardable && f.attemptsUsed() < f.request.Route.MaxAttempts && f.payForRepeat(time.Now())
+	return f.attemptsUsed() < f.request.Route.MaxAttempts && f.request.isForwardable() && f.payForRepeat(time.Now())
 }
 
 // payForRepeat charges an extra send to the budget of each shard whose part may have run. It reports whether all budgets
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -34,10 +34,12 @@
 	RemainingTime time.Duration
 	// Deadline is when the caller gives up, or when the route's timeout ends.
 	Deadline time.Time
-	// Forwardable is set if another instance may be able to serve the request, and Forwarded if another instance has
-	// forwarded it to this one. Such a request is refused at once if this instance most likely does not reach the
-	// replicas that it needs, rather than sent to find out.
-	Forwardable, Forwarded bool
+	// Forwardable reports whether another instance may be able to serve the request; nil if none is. It is called only if
+	// this instance most likely cannot. Forwarded is set if another instance has forwarded the request to this one. Such a
+	// request is refused at once if this instance most likely does not reach the replicas that it needs, rather than sent
+	// to find out.
+	Forwardable func() bool
+	Forwarded   bool
 	// AttemptsUsed is the number of replicas of each shard at which the request may have run before it was forwarded.
 	AttemptsUsed int
 	// Memory reserves the bytes that the request and its answer hold until the answer is written; nil means no bound.
@@ -50,7 +52,9 @@
 func (r *Request) maxAttempts() int { return max(r.Route.MaxAttempts-r.AttemptsUsed, 1) }
 
 // mayBeServedElsewhere reports whether another instance may serve the request if this one refuses it.
-func (r *Request) mayBeServedElsewhere() bool { return r.Forwardable || r.Forwarded }
+func (r *Request) mayBeServedElsewhere() bool { return r.Forwarded || r.isForwardable() }
+
+func (r *Request) isForwardable() bool { return r.Forwardable != nil && r.Forwardable() }
 
 // Sender sends requests to replicas.
 type Sender interface {
--- a/internal/lookup/partition_monitor.go
+++ b/internal/lookup/partition_monitor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -36,7 +37,8 @@
 	opened int64
 	// suspectedSince is when the suspicion began; zero while there is none.
 	suspectedSince time.Time
-	partitioned    bool
+	// partitioned is written under the mutex and read without it.
+	partitioned atomic.Bool
 }
 
 // recordFailure records that a connection to the replica could not be opened.
@@ -53,18 +55,11 @@
 	return &partitionMonitor{failed: make(map[fleet.ServerID]struct{}), refuted: make(map[fleet.ServerID]time.Time)}
 }
 
-// isPartitioned reports whether the instance is partitioned from all replicas.
-func (m *partitionMonitor) isPartitioned() bool {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return m.partitioned
-}
-
 // partitionedSince returns when the partition began; ok is false if there is none.
 func (m *partitionMonitor) partitionedSince() (since time.Time, ok bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.suspectedSince, m.partitioned
+	return m.suspectedSince, m.partitioned.Load()
 }
 
 // evaluate updates the state, given the number of connections that this instance has opened so far and the number of
@@ -80,8 +75,8 @@
 		return false, ended
 	case m.suspectedSince.IsZero():
 		m.suspectedSince = now
-	case !m.partitioned && now.Sub(m.suspectedSince) >= confirmUnreachableAfter && len(m.failed) >= m.threshold(partitionUnconnectable, replicas):
-		m.partitioned = true
+	case !m.partitioned.Load() && now.Sub(m.suspectedSince) >= confirmUnreachableAfter && len(m.failed) >= m.threshold(partitionUnconnectable, replicas):
+		m.partitioned.Store(true)
 		klog.InfoS("Partitioned from all replicas", "unconnectable", len(m.failed), "replicas", replicas)
 	}
 	return true, ended
@@ -95,7 +90,8 @@
 // refute ends the suspicion or the partition, because a connection has been opened, and returns when the partition
 // began; zero if there was none. The caller holds the mutex.
 func (m *partitionMonitor) refute(opened int64, now time.Time) (ended time.Time) {
-	if m.partitioned {
+	partitioned := m.partitioned.Load()
+	if partitioned {
 		ended = m.suspectedSince
 		klog.InfoS("No longer partitioned from all replicas", "after", now.Sub(m.suspectedSince))
 	}
@@ -104,12 +100,13 @@
 			delete(m.refuted, id)
 		}
 	}
-	if !m.partitioned {
+	if !partitioned {
 		for id := range m.failed {
 			m.refuted[id] = now
 		}
 	}
-	m.opened, m.suspectedSince, m.partitioned = opened, time.Time{}, false
+	m.opened, m.suspectedSince = opened, time.Time{}
+	m.partitioned.Store(false)
 	clear(m.failed)
 	return ended
 }
@@ -121,7 +118,7 @@
 }
 
 // Partitioned reports whether this instance opens no connection to any replica.
-func (e *Engine) Partitioned() bool { return e.partition.isPartitioned() }
+func (e *Engine) Partitioned() bool { return e.partition.partitioned.Load() }
 
 // checkPartition updates whether this instance is partitioned from all replicas. While that is suspected it probes
 // replicas, first those that are not known to be silent. Once it is certain, replicas that have not answered since, over
--- a/internal/lookup/partition_monitor_test.go
+++ b/internal/lookup/partition_monitor_test.go
@@ -19,7 +19,7 @@
 // runForwardable runs a request that another instance may serve, and returns the result and the time that it took.
 func (s *testEngine) runForwardable(route *routing.Route, forwarded bool) timedResult {
 	began := time.Now()
-	result := s.engine.Run(context.Background(), &Request{Route: route, ArrivedAt: began, Deadline: began.Add(route.Timeout), Forwardable: !forwarded, Forwarded: forwarded})
+	result := s.engine.Run(context.Background(), &Request{Route: route, ArrivedAt: began, Deadline: began.Add(route.Timeout), Forwardable: func() bool { return !forwarded }, Forwarded: forwarded})
 	return timedResult{result, time.Since(began)}
 }
 
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -54,7 +54,8 @@
 	if g == nil {
 		return s.refuse(verdict.New(verdict.NotRun, verdict.NoReplica, "service %s has no replica that the route allows", s.part.service).WithRetryAfter(defaultRetryAfter))
 	}
-	if !s.engine.mayTry(s.request) && g.isUnresponsive(s.request.Route, now) || s.request.mayBeServedElsewhere() && g.isDoubtful(s.request.Route, now) {
+	// Unresponsive replicas are doubtful as well.
+	if g.isDoubtful(s.request.Route, now) && (s.request.mayBeServedElsewhere() || s.engine.Partitioned() && g.isUnresponsive(s.request.Route, now)) {
 		s.unreachable = true
 		return s.refuse(verdict.New(verdict.NotRun, verdict.NoReplica, "no replica of service %s is expected to answer", s.part.service).
 			WithRetryAfter(max(unavailableRetryAfter, s.engine.callerRetryAfter(now))))
