--- a/internal/forwarding/server_test.go
+++ b/internal/forwarding/server_test.go
@@ -49,6 +49,16 @@
 	err   error
 }
 
+// forwardInBackground forwards a request whose number and message are as given, and returns where its answer arrives.
+func forwardInBackground(ctx context.Context, client *Client, address string, number uint64, message string) <-chan answer {
+	answers := make(chan answer, 1)
+	go func() {
+		reply, sent, err := client.Forward(ctx, address, &Request{Origin: "o", Number: number, Message: []byte(message)})
+		answers <- answer{reply, sent, err}
+	}()
+	return answers
+}
+
 // TestCancellation guards against replicas that work on for a caller that has gone, and against a cancelled request that
 // closes the connection of the others.
 func TestCancellation(t *testing.T) {
@@ -56,18 +66,10 @@
 	h := newBlockingHandler()
 	_, address := startServer(t, h)
 	client := NewClient(peerrpc.NewClient())
-	kept := make(chan answer, 1)
-	go func() {
-		reply, sent, err := client.Forward(t.Context(), address, &Request{Origin: "o", Number: 1, Message: []byte("kept")})
-		kept <- answer{reply, sent, err}
-	}()
+	kept := forwardInBackground(t.Context(), client, address, 1, "kept")
 	<-h.started
 	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan answer, 1)
-	go func() {
-		reply, sent, err := client.Forward(ctx, address, &Request{Origin: "o", Number: 2})
-		ended <- answer{reply, sent, err}
-	}()
+	ended := forwardInBackground(ctx, client, address, 2, "")
 	<-h.started
 	cancel()
 	<-h.cancelled
@@ -84,7 +86,7 @@
 	h := newBlockingHandler()
 	_, address := startServer(t, h)
 	rpcClient := peerrpc.NewClient()
-	go func() { _, _, _ = NewClient(rpcClient).Forward(t.Context(), address, &Request{Origin: "o", Number: 1}) }()
+	forwardInBackground(t.Context(), NewClient(rpcClient), address, 1, "")
 	<-h.started
 	conn, err := rpcClient.Connect(t.Context(), address)
 	is.New(t).NoErr(err)
@@ -99,11 +101,7 @@
 	h := newBlockingHandler()
 	s, address := startServer(t, h)
 	client := NewClient(peerrpc.NewClient())
-	kept := make(chan answer, 1)
-	go func() {
-		reply, sent, err := client.Forward(t.Context(), address, &Request{Origin: "o", Number: 1, Message: []byte("kept")})
-		kept <- answer{reply, sent, err}
-	}()
+	kept := forwardInBackground(t.Context(), client, address, 1, "kept")
 	<-h.started
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
