--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,11 +15,6 @@
 	"github.com/medlarlatch/medlarlatch/internal/routing"
 )
 
-// expiryGracePeriod is how long a replica whose registration expired is kept after the store has come back from an
-// outage. A live replica registers again within about 2 s; a grace period over 3 s would exceed the time within which a
-// departed replica must be out of use.
-const expiryGracePeriod = 2500 * time.Millisecond
-
 // Replica is one registered replica of a service. Values are immutable.
 type Replica struct {
 	ID      fleet.ServerID  `json:"id"`
@@ -176,34 +171,6 @@
 	return false
 }
 
-// heartbeat identifies the last known heartbeat of a replica.
-type heartbeat struct {
-	startedAt, sequence int64
-	receivedAt          time.Time
-	// expired is set if the replica was removed because its registration was missing after a fault of the store. A live
-	// replica may register again with the same heartbeat.
-	expired bool
-}
-
-// heartbeatRetention is how long the last heartbeat of a removed replica is kept, because the store may execute a write
-// some seconds late.
-const heartbeatRetention = 30 * time.Second
-
-// outdated reports whether an entry is older than the last known heartbeat of its replica; if it is not, outdated
-// records its heartbeat. An older entry was written late and would bring back a replica that is draining or was
-// removed.
-func (d *Directory) outdated(entry *Replica, now time.Time) bool {
-	last, known := d.heartbeats[entry.ID]
-	_, listed := d.replicas[entry.ID]
-	switch {
-	case !known || entry.StartedAt > last.startedAt:
-	case entry.StartedAt < last.startedAt, entry.Sequence < last.sequence, entry.Sequence == last.sequence && !listed && !last.expired:
-		return true
-	}
-	d.heartbeats[entry.ID] = heartbeat{startedAt: entry.StartedAt, sequence: entry.Sequence, receivedAt: now}
-	return false
-}
-
 // markUnregistered records that an instance is no longer registered. The instance stays in the view until
 // change.RemoveAt or, if that is zero, for instanceRetention. It reports whether the instance was still registered.
 func (d *Directory) markUnregistered(change *Change, now time.Time) bool {
@@ -240,47 +207,6 @@
 	return was
 }
 
-// warmUpTolerance is the difference up to which two values for the end of the warm-up count as equal. A heartbeat
-// carries the remaining time, so its delay shifts the end.
-const warmUpTolerance = 300 * time.Millisecond
-
-// equivalent reports whether requests are treated the same with both entries.
-func (r Replica) equivalent(other Replica) bool {
-	apart := r.ColdUntil.Sub(other.ColdUntil).Abs()
-	r.ColdUntil, r.Sequence = other.ColdUntil, other.Sequence
-	return r == other && apart < warmUpTolerance
-}
-
-// remove removes a replica, or keeps it until change.RemoveAt if its registration may be missing only because of a fault
-// of the store. It sets change.RemoveAt where needed, so that peers keep the replica for the same time. It
-// reports whether the replica was known.
-func (d *Directory) remove(change *Change, now time.Time) bool {
-	if _, known := d.replicas[change.ReplicaID]; !known {
-		return false
-	}
-	if until := d.registrationsLostAt.Add(expiryGracePeriod); change.RemoveAt.IsZero() && now.Before(until) {
-		change.RemoveAt = until
-	}
-	if now.Before(change.RemoveAt) {
-		d.pendingRemoval[change.ReplicaID] = change.RemoveAt
-		return true
-	}
-	d.dropReplica(change.ReplicaID, false, now)
-	return true
-}
-
-// dropReplica removes a replica; expired says that only its registration is missing. Its last heartbeat is kept for
-// heartbeatRetention from now: a live replica's entry may not have changed for long, and an outdated entry can come back
-// after the removal.
-func (d *Directory) dropReplica(id fleet.ServerID, expired bool, now time.Time) {
-	delete(d.replicas, id)
-	delete(d.pendingRemoval, id)
-	if last, known := d.heartbeats[id]; known {
-		last.receivedAt, last.expired = now, expired
-		d.heartbeats[id] = last
-	}
-}
-
 // evacuationGracePeriod is how long after a restore of the store from a copy a zone stays out of service whose entry the
 // copy lacks. The operators write their entries again; requests to a zone that they have taken out do more harm than a
 // zone that is used again some seconds late.
@@ -367,63 +293,6 @@
 // ReplicaCount returns the number of known replicas, including those that are draining or about to be removed.
 func (d *Directory) ReplicaCount() int { return len(d.replicas) }
 
-// instanceRetention is how long an instance that is no longer registered still counts. It may go on serving without the
-// store. Each instance gets a share of the global bounds; a count that is too high only leaves some shares unused.
-const instanceRetention = 15 * time.Second
-
-// Expire removes the replicas whose RemoveAt has come and the instances that lost their registration instanceRetention
-// ago, and returns zones to service whose RemoveAt has come. It reports whether the view changed.
-func (d *Directory) Expire(now time.Time) bool {
-	for id, last := range d.heartbeats {
-		if _, listed := d.replicas[id]; !listed && now.Sub(last.receivedAt) >= heartbeatRetention {
-			delete(d.heartbeats, id)
-		}
-	}
-	dropped := d.expireInstances(now)
-	for id, until := range d.pendingRemoval {
-		if !now.Before(until) {
-			d.dropReplica(id, true, now)
-			dropped = true
-		}
-	}
-	for zone, until := range d.pendingReturn {
-		if !now.Before(until) {
-			delete(d.zonesOutOfService, zone)
-			delete(d.pendingReturn, zone)
-			dropped = true
-		}
-	}
-	return dropped
-}
-
-// NextRemoval returns when the next deletion that is pending takes effect; false if there is none.
-func (d *Directory) NextRemoval() (time.Time, bool) {
-	var next time.Time
-	for _, until := range d.pendingRemoval {
-		if next.IsZero() || until.Before(next) {
-			next = until
-		}
-	}
-	for _, until := range d.pendingReturn {
-		if next.IsZero() || until.Before(next) {
-			next = until
-		}
-	}
-	return next, !next.IsZero()
-}
-
-func (d *Directory) expireInstances(now time.Time) bool {
-	dropped := false
-	for id, gone := range d.unregisteredSince {
-		if now.Sub(gone) >= instanceRetention {
-			delete(d.instances, id)
-			delete(d.unregisteredSince, id)
-			dropped = true
-		}
-	}
-	return dropped
-}
-
 // View returns what requests may use now: the replicas that are not draining and not in a zone that is out of service.
 func (d *Directory) View() *View {
 	v := &View{Table: d.table, Replicas: make(map[fleet.ServiceID][]Replica)}
