lookup, platform: log which request lost its connection to a replica

A send whose connection was lost left no line, and nothing connected two requests with the same path. No decision changes.

--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -17,6 +17,7 @@
 	"github.com/medlarlatch/medlarlatch/internal/directory"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/internal/memory"
+	"github.com/medlarlatch/medlarlatch/internal/quarantine"
 	"github.com/medlarlatch/medlarlatch/internal/routing"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
@@ -42,6 +43,8 @@
 	Forwarded   bool
 	// AttemptsUsed is the number of replicas of each shard at which the request may have run before it was forwarded.
 	AttemptsUsed int
+	// Fingerprint returns what identifies the request when it comes again; nil if that is not known.
+	Fingerprint func() quarantine.Fingerprint
 	// Memory reserves the bytes that the request and its answer hold until the answer is written; nil means no bound.
 	Memory *memory.Reservation
 	// Payload is the protocol data for the Sender; this package does not inspect it.
@@ -56,6 +59,14 @@
 
 func (r *Request) isForwardable() bool { return r.Forwardable != nil && r.Forwardable() }
 
+// fingerprint returns the fingerprint of the request; the zero value if it is not known.
+func (r *Request) fingerprint() (identity quarantine.Fingerprint) {
+	if r.Fingerprint != nil {
+		identity = r.Fingerprint()
+	}
+	return identity
+}
+
 // Sender sends requests to replicas.
 type Sender interface {
 	// Send waits for the complete answer of one replica. It returns early when ctx is done or the deadline passes. It
--- a/internal/lookup/send.go
+++ b/internal/lookup/send.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/medlarlatch/medlarlatch/internal/panics"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
@@ -41,6 +43,9 @@
 	go func() {
 		outcome := e.send(ctx, request, send.to, stats, maxConnections)
 		now := time.Now()
+		if outcome.lostConnection() {
+			logLostConnection(request, send, &outcome)
+		}
 		e.reportSend(send.to, send.to.health.endSend(send.sendNumber, now, &outcome), now)
 		e.recordSend(send.to, outcome.Reason, now.Sub(send.sent))
 		if outcome.Reason == verdict.ConnectFailed {
@@ -56,6 +61,16 @@
 	}()
 }
 
+// lostConnection reports whether the replica closed or reset the connection while it may have been running the request.
+func (o *Outcome) lostConnection() bool {
+	return o.Verdict != verdict.NotRun && !o.answered() && (o.Reason == verdict.ConnectionLost || o.Reason == verdict.BadAnswer)
+}
+
+func logLostConnection(request *Request, send *replicaSend, outcome *Outcome) {
+	klog.InfoS("Connection lost before the answer", "id", request.ID, "fingerprint", request.fingerprint(), "replica", send.to.ID, "started-at", send.to.StartedAt,
+		"kind", send.kind(), "reason", outcome.Reason, "detail", outcome.Detail)
+}
+
 // send calls the Sender. Of a part, it keeps only the records that can be in the merged answer, so that the memory of
 // the others is released at once. A panic in the Sender fails only this send; the request may have run.
 func (e *Engine) send(ctx context.Context, request *Request, to *member, stats *routeStats, maxConnections int) (outcome Outcome) {
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,2 @@
+// Package quarantine recognises requests that crash the replicas that run them.
+package quarantine
