quarantine: requests that crash replicas are held

Cause: nothing was remembered of a request, and the end of a replica was a failure of the replica only.

Change: a replica that refuses connections after it has lost a request, or is replaced by another process, has crashed with that request in progress. The request is then suspected, and goes to one replica before all others; an answer ends the suspicion. After three crashes without an answer it is held. The instances share what they find at once, held requests are written to the store.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -70,6 +70,17 @@
 	return true
 }
 
+// reserve counts a connection that the caller has opened, and reports whether the limit permits it.
+func (p *pool) reserve(limit int) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.open >= limit || p.closed {
+		return false
+	}
+	p.open++
+	return true
+}
+
 // put returns a connection that is ready for another request to the pool, or closes it if the pool has no use for it.
 func (p *pool) put(c *conn, limit int) {
 	p.mutex.Lock()
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
@@ -150,6 +151,22 @@
 	return failure
 }
 
+// Refuses reports whether the server's address refuses a new connection. If it accepts one, the connection is kept as an
+// idle one if that is permitted.
+func (r *Relay) Refuses(ctx context.Context, server fleet.Server, limit int) bool {
+	raw, err := r.dial(ctx, server.Address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	r.opened.Add(1)
+	if p := r.pools.get(server); p.reserve(limit) {
+		p.put(newConn(raw), limit)
+	} else {
+		_ = raw.Close() // nothing was sent on it
+	}
+	return false
+}
+
 // connect returns an idle connection that appears to be open and within its idle timeout, or a new one.
 func (r *Relay) connect(ctx context.Context, p *pool, server fleet.Server, limit int, request *RelayRequest) (*conn, *verdict.Error) {
 	for {
--- a/internal/lookup/crash_fleet_test.go
+++ b/internal/lookup/crash_fleet_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -35,6 +39,22 @@
 	singleRoute *routing.Route
 	// deadly reports whether a request crashes the replicas of a service that run it.
 	deadly func(identity quarantine.Fingerprint, service fleet.ServiceID) bool
+	// lose returns the share of the runs whose answer is lost with its connection. crashHangs leaves the connections of a
+	// crashed replica open. downFor is how long a crashed replica is down.
+	lose       float64
+	crashHangs bool
+	downFor    time.Duration
+	random     *rand.Rand
+
+	ctx       context.Context
+	stopAll   context.CancelFunc
+	ledgers   []*quarantine.Ledger
+	exchanges []*quarantine.Exchange
+	stops     []context.CancelFunc
+	// reaches reports whether an instance reaches another one; storeUp whether the store answers, which holds stored.
+	reaches func(from, to int) bool
+	storeUp bool
+	stored  map[quarantine.Fingerprint][]byte
 
 	mutex      sync.Mutex
 	replicas   map[fleet.ServerID]*crashingReplica
@@ -65,7 +85,8 @@
 
 func newCrashFleet(t *testing.T, instances, shardCount int) *crashFleet {
 	f := &crashFleet{
-		t: t, replicas: make(map[fleet.ServerID]*crashingReplica),
+		t: t, replicas: make(map[fleet.ServerID]*crashingReplica), downFor: restartDelay,
+		storeUp: true, stored: make(map[quarantine.Fingerprint][]byte), random: rand.New(rand.NewPCG(5, 6)),
 		deadly:      func(quarantine.Fingerprint, fleet.ServiceID) bool { return false },
 		fanoutRoute: &routing.Route{Name: "fan", Idempotent: true, Timeout: timeout, Objective: objective, MaxAttempts: 2, MaxRecords: 5, MinCoverage: 0.89},
 		singleRoute: &routing.Route{
@@ -73,6 +94,7 @@
 			WeightedServices: []routing.WeightedService{{Service: "s0", Weight: 1}},
 		},
 	}
+	f.ctx, f.stopAll = context.WithCancel(context.Background())
 	for i := range shardCount {
 		service := serviceOf(i)
 		f.services = append(f.services, service)
@@ -84,19 +106,120 @@
 			}}
 		}
 	}
+	f.engines, f.ledgers = make([]*Engine, instances), make([]*quarantine.Ledger, instances)
+	f.exchanges, f.stops = make([]*quarantine.Exchange, instances), make([]context.CancelFunc, instances)
 	for i := range instances {
-		e := New(Options{
-			Zone: []fleet.ZoneID{"a", "b"}[i%2], Sender: f, ExtraAllowance: Allowance{Window: 10 * time.Second, Ratio: 0.2, Constant: 56},
-			Random: rand.New(rand.NewPCG(uint64(i), 2)),
-		})
-		e.started = time.Now().Add(-time.Minute)
-		e.SetInstances(fleet.InstanceID(fmt.Sprintf("i%d", i)), instanceNames(instances))
-		f.engines = append(f.engines, e)
+		f.start(i)
 	}
 	f.publish()
 	return f
 }
 
+func (f *crashFleet) zoneOf(i int) fleet.ZoneID { return []fleet.ZoneID{"a", "b"}[i%2] }
+
+// start starts an instance, which knows what the store has.
+func (f *crashFleet) start(i int) {
+	ids := instanceNames(len(f.engines))
+	ledger := quarantine.NewLedger(ids[i])
+	e := New(Options{
+		Zone: f.zoneOf(i), Sender: f, Prober: f, ExtraAllowance: Allowance{Window: 10 * time.Second, Ratio: 0.2, Constant: 56},
+		Random: rand.New(rand.NewPCG(uint64(i), 2)), Quarantine: ledger,
+	})
+	e.started = time.Now().Add(-time.Minute)
+	e.SetInstances(ids[i], ids)
+	ledger.SetInstances(ids)
+	var all []directory.Instance
+	for k, id := range ids {
+		all = append(all, directory.Instance{ID: id, Zone: f.zoneOf(k), PeerAddress: strconv.Itoa(k)})
+	}
+	exchange := quarantine.NewExchange(quarantine.Options{
+		Self: all[i], Ledger: ledger, Peers: crashPeers{f, i}, Random: rand.New(rand.NewPCG(uint64(i), 5)), LastAnswer: e.LastAnswer,
+	})
+	exchange.SetInstances(all)
+	ctx, stop := context.WithCancel(f.ctx)
+	f.mutex.Lock()
+	f.engines[i], f.ledgers[i], f.exchanges[i], f.stops[i] = e, ledger, exchange, stop
+	f.mutex.Unlock()
+	go exchange.Run(ctx)
+	go quarantine.NewArchivist(ledger, f).Run(ctx)
+	f.restore(i)
+}
+
+// restart ends the process of an instance and starts another one.
+func (f *crashFleet) restart(i int) {
+	f.stops[i]()
+	f.start(i)
+	f.publish()
+}
+
+// restore gives an instance what the store has.
+func (f *crashFleet) restore(i int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, value := range f.stored {
+		if err := f.ledgers[i].Restore(value, time.Now()); f.storeUp && err != nil {
+			f.t.Error(err)
+		}
+	}
+}
+
+// Write implements quarantine.Archive. All instances read what is written.
+func (f *crashFleet) Write(_ context.Context, values map[quarantine.Fingerprint][]byte, removed []quarantine.Fingerprint) error {
+	f.mutex.Lock()
+	if !f.storeUp {
+		f.mutex.Unlock()
+		return errors.New("the store is down")
+	}
+	maps.Copy(f.stored, values)
+	for _, identity := range removed {
+		delete(f.stored, identity)
+	}
+	f.mutex.Unlock()
+	for i := range f.engines {
+		f.restore(i)
+	}
+	return nil
+}
+
+// crashPeers is how one instance calls the others.
+type crashPeers struct {
+	f    *crashFleet
+	from int
+}
+
+// Call implements quarantine.PeerClient.
+func (p crashPeers) Call(ctx context.Context, address, method string, params, into any) error {
+	to, err := strconv.Atoi(address)
+	if err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Millisecond)
+	p.f.mutex.Lock()
+	exchange, reached := p.f.exchanges[to], p.f.reaches == nil || p.f.reaches(p.from, to)
+	p.f.mutex.Unlock()
+	if !reached {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	text, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	answer := any(nil)
+	if method == quarantine.ReportMethod {
+		answer, err = exchange.AnswerReport(ctx, text)
+	} else {
+		answer, err = exchange.AnswerSync(ctx, text)
+	}
+	if err != nil || into == nil {
+		return err
+	}
+	if text, err = json.Marshal(answer); err != nil {
+		return err
+	}
+	return json.Unmarshal(text, into)
+}
+
 // publish gives all instances the current entries of the replicas.
 func (f *crashFleet) publish() {
 	f.mutex.Lock()
@@ -122,9 +245,11 @@
 		return
 	}
 	r.down = true
-	close(r.ended)
+	if !f.crashHangs {
+		close(r.ended)
+	}
 	f.crashes = append(f.crashes, crashRecord{time.Now(), r.ID, by})
-	time.AfterFunc(restartDelay, func() {
+	time.AfterFunc(f.downFor, func() {
 		f.mutex.Lock()
 		next := &crashingReplica{Replica: r.Replica, ended: make(chan struct{})}
 		next.StartedAt++
@@ -146,7 +271,7 @@
 		f.mutex.Unlock()
 		return Outcome{Verdict: verdict.NotRun, Reason: verdict.Misdirected, Status: http.StatusMisdirectedRequest}
 	}
-	delay, deadly := work, f.deadly(request.Fingerprint(), to.Service)
+	delay, deadly, lost := work, f.deadly(request.Fingerprint(), to.Service), f.random.Float64() < f.lose
 	if deadly {
 		delay = crashDelay
 		f.deadlySent = append(f.deadlySent, deadlySend{time.Now(), request.ID, request.Fingerprint()})
@@ -161,12 +286,19 @@
 	case <-ctx.Done():
 		return Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.Cancelled}
 	}
-	if !deadly {
+	switch {
+	case deadly:
+		f.mutex.Lock()
+		f.crash(r, request.Fingerprint())
+		hangs := f.crashHangs
+		f.mutex.Unlock()
+		if hangs {
+			<-ctx.Done()
+			return Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.Cancelled}
+		}
+	case !lost:
 		return good(0).outcome
 	}
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.crash(r, request.Fingerprint())
 	return Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.ConnectionLost}
 }
 
@@ -180,6 +312,14 @@
 	return nil
 }
 
+// Refuses implements Prober.
+func (f *crashFleet) Refuses(_ context.Context, to directory.Replica) bool {
+	time.Sleep(2 * time.Millisecond)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.replicas[to.ID].down && !f.crashHangs
+}
+
 // run lets an instance serve a request with the given content.
 func (f *crashFleet) run(instance int, route *routing.Route, content string) Result {
 	f.mutex.Lock()
--- a/internal/lookup/deadly_request_test.go
+++ b/internal/lookup/deadly_request_test.go
@@ -23,7 +23,7 @@
 // TestDeadlyRequestComesAgain guards against a request that crashes the replicas that run it, comes again at any
 // instance, and is sent to replicas each time.
 func TestDeadlyRequestComesAgain(t *testing.T) {
-	for _, instances := range []int{1} {
+	for _, instances := range []int{1, 4, 33, 118} {
 		for name, route := range map[string]func(f *crashFleet) *routing.Route{
 			"all shards":  func(f *crashFleet) *routing.Route { return f.fanoutRoute },
 			"one replica": func(f *crashFleet) *routing.Route { return f.singleRoute },
@@ -32,6 +32,7 @@
 				runInBubble(t, func(t *testing.T) {
 					is := is.New(t)
 					f := newCrashFleet(t, instances, 20)
+					defer f.stopAll()
 					deadly := quarantine.NewFingerprint([]byte("deadly"))
 					f.deadly = func(identity quarantine.Fingerprint, _ fleet.ServiceID) bool { return identity == deadly }
 					served := f.load(f.fanoutRoute, 60, 45*time.Second)
--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -9,6 +9,7 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/internal/memory"
+	"github.com/medlarlatch/medlarlatch/internal/quarantine"
 	"github.com/medlarlatch/medlarlatch/internal/routing"
 	"github.com/medlarlatch/medlarlatch/internal/sighting"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
@@ -48,6 +49,11 @@
 	// FirstStart is set if no earlier process of this instance has run, so that none can have used up the instance's
 	// share of the extra sends.
 	FirstStart bool
+	// Quarantine holds what is known of requests that crash replicas; nil means that this engine keeps its own.
+	Quarantine *quarantine.Ledger
+	// Prober finds out whether a replica that closed a connection has crashed; nil means that only its next registration
+	// shows it.
+	Prober Prober
 	// Memory accounts for the bytes that answers hold; nil means no bound.
 	Memory *memory.Account
 	// OpenedConnections returns the number of connections to replicas that have been opened so far. If it is nil, a
@@ -91,6 +97,10 @@
 	counters    Counters
 	routeStats  sync.Map // *routeStats by the name of the route
 	limiters    sync.Map // *limiter by the first shard of a route
+	quarantine  *quarantine.Ledger
+	canaryTurns canaryTurns
+	lastCrashAt atomic.Int64 // Unix nanoseconds
+	prober      Prober       // may be nil
 	networks    callerNetworks
 
 	// updateMutex guards the state of replicas, zones and services that outlives a replicaView.
@@ -108,6 +118,8 @@
 		recorder:          options.Recorder,
 		reportSighting:    options.ReportSighting,
 		memory:            options.Memory,
+		quarantine:        options.Quarantine,
+		prober:            options.Prober,
 		onReplicaRemoved:  options.OnReplicaRemoved,
 		openedConnections: options.OpenedConnections,
 		started:           time.Now(),
@@ -118,6 +130,9 @@
 		partition:         newPartitionMonitor(),
 		zoneMonitor:       zoneMonitor{suspectedSince: make(map[fleet.ZoneID]time.Time)},
 	}
+	if e.quarantine == nil {
+		e.quarantine = quarantine.NewLedger("")
+	}
 	e.SetExtraAllowance(options.ExtraAllowance)
 	e.selections.Store(options.Random.Uint64())
 	e.instances.Store(&instanceSet{count: defaultInstances})
--- a/internal/lookup/fake_test.go
+++ b/internal/lookup/fake_test.go
@@ -97,6 +97,13 @@
 	return nil
 }
 
+// Refuses implements Prober.
+func (b *fakeReplicas) Refuses(_ context.Context, to directory.Replica) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.behaviour(to.ID, time.Now()).refuses
+}
+
 // setBehaviour replaces the behaviour of all replicas.
 func (b *fakeReplicas) setBehaviour(behave func(id fleet.ServerID, now time.Time) replicaBehaviour) {
 	b.mutex.Lock()
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/medlarlatch/medlarlatch/internal/quarantine"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
@@ -28,6 +29,9 @@
 	engine *Engine
 	ctx    context.Context
 	cancel context.CancelFunc
+	// sendCtx is the context of the sends, and cancelSends cancels them.
+	sendCtx     context.Context
+	cancelSends context.CancelFunc
 	// detachCaller stops the caller's context from cancelling the sends that linger; that context is also done once the
 	// caller has its answer.
 	detachCaller     func() bool
@@ -50,6 +54,10 @@
 	trial bool
 	// unreachable is set if the request was refused because too few shards have a replica that is expected to answer.
 	unreachable bool
+	// standing is how the request was to be treated when it began. held is set once it is to be refused.
+	standing quarantine.Standing
+	held     bool
+	canary   canary
 	// limited is set if the request needed the request limit of a replica when it was last checked.
 	limited bool
 	trace   Trace
@@ -67,6 +75,7 @@
 		results:  make(chan sendResult, len(route.Shards)*(request.maxAttempts()+maxUnrunSends)),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	f.openSends()
 	f.detachCaller = context.AfterFunc(ctx, f.cancel)
 	f.expected = f.stats.meanSendTime()
 	f.limiter = e.limiterOf(route)
@@ -78,8 +87,16 @@
 	return f
 }
 
+// openSends prepares a context for the next sends.
+func (f *fanout) openSends() { f.sendCtx, f.cancelSends = context.WithCancel(f.ctx) }
+
 func (f *fanout) run() Result {
-	refusal := f.waitUntilReachable()
+	defer f.releaseTurn()
+	var refusal *verdict.Error
+	if f.standing, refusal = f.engine.suspicionOf(f.request, f.request.Route.Shards, time.Now()); refusal != nil {
+		return f.refuse(refusal)
+	}
+	refusal = f.waitUntilReachable()
 	if !f.unreachable || !f.request.mayBeServedElsewhere() {
 		f.countRequest(time.Now()) // the instance that serves the request counts it
 	}
@@ -114,6 +131,9 @@
 			f.drainResults()
 		case <-timer.C:
 			ticked = true
+		case <-f.canary.turnEnds:
+			f.canary.turnEnds = nil
+			f.advanceCanary(time.Now())
 		case <-f.ctx.Done():
 			return f.refuse(f.cancelledError())
 		}
@@ -140,14 +160,24 @@
 }
 
 func (f *fanout) send(i int, to *member, g *replicaGroup, hedge bool, paidFrom *retryBudget, now time.Time) {
+	f.startSend(i, &replicaSend{to: to, sent: now, expected: f.expected, hedge: hedge, paidFrom: paidFrom, suspected: f.parts[i].suspected}, g)
+}
+
+// sendSuspected sends a part of a suspected request.
+func (f *fanout) sendSuspected(i int, to *member, g *replicaGroup, paidFrom *retryBudget, now time.Time) *replicaSend {
+	send := &replicaSend{to: to, sent: now, expected: f.expected, paidFrom: paidFrom, suspected: true}
+	f.startSend(i, send, g)
+	return send
+}
+
+func (f *fanout) startSend(i int, send *replicaSend, g *replicaGroup) {
 	p := &f.parts[i]
-	send := &replicaSend{to: to, sent: now, expected: f.expected, hedge: hedge, paidFrom: paidFrom}
 	p.sends = append(p.sends, send)
-	p.tried = append(p.tried, to.health)
+	p.tried = append(p.tried, send.to.health)
 	p.possibleRuns++
 	p.retryAt = time.Time{}
 	f.trace.Sends++
-	f.engine.startSend(f.ctx, f.request, g, send, i, f.stats, f.results)
+	f.engine.startSend(f.sendCtx, f.request, g, send, i, f.stats, f.results)
 }
 
 func (f *fanout) fail(p *part, reason verdict.Reason) {
@@ -179,11 +209,13 @@
 	}
 	if received.outcome.Reason == verdict.None {
 		p.answer = &received.outcome
+		defer f.endCanaryAfterAnswer(now)
 		if f.answered++; f.answered == f.earlyAnswers() {
 			f.limiter.observe(now, now.Sub(f.started), f.stats.unqueued.time())
 		}
 		return
 	}
+	p.suspected = p.suspected || received.crashed
 	p.reason = received.outcome.Reason
 	p.reachedReplica = p.reachedReplica || !received.outcome.Unsent
 	f.trace.Failed++
@@ -192,10 +224,17 @@
 		p.possibleRuns--
 		p.shed = p.shed || received.outcome.Reason == verdict.Shedding
 	}
-	if p.inFlight() {
-		return
+	switch {
+	case received.standing == quarantine.Held:
+		f.held = true
+	case received.send.abandoned || p.inFlight():
+	case received.crashed && f.answered == 0:
+		f.holdBack(now)
+	case f.canary.active:
+		f.advanceCanary(now)
+	default:
+		f.retry(received.shard, now)
 	}
-	f.retry(received.shard, now)
 }
 
 // earlyAnswers returns the number of answers after which the elapsed time shows how busy the replicas are.
@@ -250,6 +289,10 @@
 // checkParts hedges the parts that wait for too long or whose replica has stalled, and retries those whose delay has
 // passed.
 func (f *fanout) checkParts(now time.Time) {
+	if f.canary.active {
+		f.advanceCanary(now)
+		return
+	}
 	for i := range f.parts {
 		p := &f.parts[i]
 		switch {
@@ -268,7 +311,7 @@
 // wantsHedge reports whether a part should be hedged now. It returns false if the part was already hedged or has used
 // up the route's attempts, and once the merged answer is due.
 func (f *fanout) wantsHedge(p *part, now time.Time) bool {
-	if len(p.sends) == 0 || p.possibleRuns >= f.request.maxAttempts() || now.After(f.answerDueAt) {
+	if len(p.sends) == 0 || p.suspected || p.possibleRuns >= f.request.maxAttempts() || now.After(f.answerDueAt) {
 		return false
 	}
 	last := p.sends[len(p.sends)-1]
--- a/internal/lookup/fanout_result.go
+++ b/internal/lookup/fanout_result.go
@@ -15,6 +15,10 @@
 		f.recordOverload(now)
 	}
 	switch {
+	case f.held:
+		return f.refuse(quarantinedError(f.verdict(), f.engine.quarantine.UntilTrial(f.request.fingerprint(), now))), true
+	case f.canary.failed:
+		return f.refuse(f.belowFloorError("no replica left to try a suspected request at")), true
 	case f.answered+f.failed == len(f.parts) && f.answered >= f.required,
 		!now.Before(f.answerDueAt) && f.answered >= f.required:
 		return f.mergeAnswer(), true
--- a/internal/lookup/fanout_start.go
+++ b/internal/lookup/fanout_start.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/medlarlatch/medlarlatch/internal/quarantine"
 	"github.com/medlarlatch/medlarlatch/internal/routing"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
@@ -19,6 +20,16 @@
 		}
 	}
 	f.started = now
+	if f.standing != quarantine.Unsuspected {
+		crashed := f.engine.quarantine.CrashedServices(f.request.fingerprint())
+		for i := range f.parts {
+			f.parts[i].service = f.request.Route.Shards[i]
+			f.parts[i].suspected = crashed[f.parts[i].service]
+		}
+		f.canary.active = true
+		f.advanceCanary(now)
+		return true
+	}
 	for i := range f.parts {
 		f.startPart(i, now)
 	}
--- a/internal/lookup/part.go
+++ b/internal/lookup/part.go
@@ -20,6 +20,7 @@
 	reason         verdict.Reason
 	budgetDenied   bool
 	shed           bool // a replica rejected it to shed load
+	suspected      bool // a replica of the shard has crashed under the request, which is then at one of them at a time
 	// Most parts need one or two sends; these arrays avoid allocations for them.
 	sendBuffer  [2]*replicaSend
 	triedBuffer [2]*replicaHealth
--- a/internal/lookup/replica_health.go
+++ b/internal/lookup/replica_health.go
@@ -72,13 +72,18 @@
 	healthyProbeStart time.Time
 	lastProbeSuccess  time.Time
 	// misdirected is set when another process answers at the replica's address.
-	misdirected     bool
+	misdirected bool
+	// crashedAt is when the process was found to have crashed; zero if it was not. crashCheck is the running check.
+	crashedAt       time.Time
+	crashCheck      *crashCheck
 	recentColdSends []time.Time
 	selfReport      selfReport
 	requestLimit    requestLimit
 	// maybeSilent is set while the replica may be silent. It is read without the lock, so that healthy replicas can be
 	// skipped cheaply.
 	maybeSilent atomic.Bool
+	// suspectedSends is the number of sends in progress of requests that are suspected of crashing replicas.
+	suspectedSends atomic.Int32
 }
 
 // beginSend records a send and returns the number that identifies it for endSend.
@@ -111,6 +116,9 @@
 	switch {
 	case outcome.answered():
 		h.zone.recordAnswer(now)
+		if !h.crashedAt.IsZero() && ended.sent.After(h.crashedAt) && outcome.Reason != verdict.Misdirected {
+			seen.alive, h.crashedAt = true, time.Time{}
+		}
 		if h.unansweredSends > 0 {
 			klog.InfoS("Replica answers again after silence", "replica", h.id, "silent-for", formatAge(h.lastAnswer, now), "sends-unanswered", h.unansweredSends)
 		}
@@ -130,6 +138,7 @@
 		}
 	case outcome.Reason == verdict.Cancelled || outcome.Reason == verdict.DeadlinePassed:
 		seen.ratio = h.recordUnanswered(now, elapsed, ended)
+		seen.silent = seen.ratio > 0 && h.lastAnswer.Before(ended.sent)
 	case outcome.Reason == verdict.ConnectFailed:
 		seen.ratio = maxSlowness
 		h.updateFirstUnanswered(ended)
--- a/internal/lookup/replica_view.go
+++ b/internal/lookup/replica_view.go
@@ -76,6 +76,7 @@
 		}
 	}
 	e.replicas = tracked
+	e.confirmLosses(view, now)
 	e.dropUnusedZones()
 	e.view.Store(next)
 	e.dropUnused(next)
--- a/internal/lookup/send.go
+++ b/internal/lookup/send.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/medlarlatch/medlarlatch/internal/panics"
+	"github.com/medlarlatch/medlarlatch/internal/quarantine"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
@@ -22,6 +23,10 @@
 	// not reach a replica.
 	paidFrom *retryBudget
 	ended    bool
+	// abandoned is set if the request does not wait for the send any more; it may be sent to the same shard again.
+	abandoned bool
+	// suspected is set if the request was already suspected of crashing replicas.
+	suspected bool
 }
 
 // sendResult is the outcome of a send, delivered to the goroutine of its request.
@@ -29,6 +34,9 @@
 	shard   int
 	send    *replicaSend
 	outcome Outcome
+	// crashed is set if the replica crashed before it answered, and standing is then the request's standing since.
+	crashed  bool
+	standing quarantine.Standing
 }
 
 // startSend sends the request to a replica on a new goroutine. The results channel must have room for every result, so
@@ -40,13 +48,22 @@
 		e.counters.LimitedSends[send.kind()].Add(1)
 	}
 	maxConnections := e.maxConnections(g)
+	if send.suspected {
+		send.to.health.suspectedSends.Add(1)
+	}
 	go func() {
 		outcome := e.send(ctx, request, send.to, stats, maxConnections)
-		now := time.Now()
+		crashed := false
 		if outcome.lostConnection() {
 			logLostConnection(request, send, &outcome)
+			crashed = request.Fingerprint != nil && e.hasCrashed(send.to)
 		}
-		e.reportSend(send.to, send.to.health.endSend(send.sendNumber, now, &outcome), now)
+		if send.suspected {
+			send.to.health.suspectedSends.Add(-1)
+		}
+		now := time.Now()
+		seen := send.to.health.endSend(send.sendNumber, now, &outcome)
+		e.reportSend(send.to, seen, now)
 		e.recordSend(send.to, outcome.Reason, now.Sub(send.sent))
 		if outcome.Reason == verdict.ConnectFailed {
 			e.partition.recordFailure(send.to.ID, now)
@@ -57,7 +74,7 @@
 		if outcome.Reason == verdict.None {
 			stats.observe(now, now.Sub(send.sent))
 		}
-		results <- sendResult{shard, send, outcome}
+		results <- sendResult{shard, send, outcome, crashed, e.recordSuspicion(request, send, &outcome, seen, crashed, now)}
 	}()
 }
 
--- a/internal/lookup/sightings.go
+++ b/internal/lookup/sightings.go
@@ -25,6 +25,9 @@
 	rejected bool
 	// limitEnded is set if the replica has stopped naming a request limit, and this instance found it first.
 	limitEnded bool
+	// silent is set if the send was given up and nothing else was received from the replica meanwhile. alive is set if a
+	// replica that was taken for crashed has answered.
+	silent, alive bool
 }
 
 // reportZone informs the other instances that a zone is suspected of being unreachable.
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/quarantine"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
 
@@ -27,6 +29,10 @@
 	// lastFailure is the last error answer of a replica; it is passed on if no replica succeeds.
 	lastFailure *Outcome
 	mayHaveRun  bool
+	// suspected is set if the request is suspected of crashing replicas; it is then at one replica at a time.
+	suspected bool
+	// turn is set if the request counts as the one with its fingerprint that is being tried.
+	turn bool
 	// unreachable is set if the request was refused because no replica is expected to answer.
 	unreachable bool
 	trace       Trace
@@ -49,8 +55,16 @@
 }
 
 func (s *single) run() Result {
+	if refusal := s.awaitTurn(); refusal != nil {
+		return s.refuse(refusal)
+	}
+	defer s.releaseTurn()
 	now := time.Now()
-	chosen, g := s.engine.choose(s.request.Route, s.part.service, nil, false, s.expected, now)
+	var avoided []*replicaHealth
+	if s.suspected {
+		avoided = s.engine.suspectedAt(s.part.service)
+	}
+	chosen, g := s.engine.choose(s.request.Route, s.part.service, avoided, false, s.expected, now)
 	if g == nil {
 		return s.refuse(verdict.New(verdict.NotRun, verdict.NoReplica, "service %s has no replica that the route allows", s.part.service).WithRetryAfter(defaultRetryAfter))
 	}
@@ -92,6 +106,39 @@
 	}
 }
 
+// awaitTurn waits until no other request with the same fingerprint is being tried, if this one is suspected. It refuses
+// a request that is held, and one that would have to wait for too long.
+func (s *single) awaitTurn() *verdict.Error {
+	services := []fleet.ServiceID{s.part.service}
+	timer := time.NewTimer(s.maxWait())
+	defer timer.Stop()
+	for {
+		standing, refusal := s.engine.suspicionOf(s.request, services, time.Now())
+		s.suspected = standing != quarantine.Unsuspected
+		if refusal != nil || !s.suspected {
+			return refusal
+		}
+		turnEnds, begun := s.engine.canaryTurns.begin(s.request.fingerprint())
+		if s.turn = begun; begun {
+			return nil
+		}
+		select {
+		case <-turnEnds:
+		case <-timer.C:
+			return verdict.New(verdict.NotRun, verdict.Overloaded, "another request with the same fingerprint is being tried").WithRetryAfter(defaultRetryAfter)
+		case <-s.ctx.Done():
+			return verdict.New(verdict.NotRun, verdict.Cancelled, "the caller cancelled the request")
+		}
+	}
+}
+
+// releaseTurn lets the next request with the same fingerprint be tried.
+func (s *single) releaseTurn() {
+	if s.turn {
+		s.engine.canaryTurns.end(s.request.fingerprint())
+	}
+}
+
 // untilNextCheck returns the time until the next retry, hedge or the end of the request.
 func (s *single) untilNextCheck(now time.Time) time.Duration {
 	next := s.giveUpAt
@@ -105,7 +152,7 @@
 }
 
 func (s *single) send(to *member, g *replicaGroup, hedge bool, paidFrom *retryBudget, now time.Time) {
-	send := &replicaSend{to: to, sent: now, expected: s.expected, hedge: hedge, paidFrom: paidFrom}
+	send := &replicaSend{to: to, sent: now, expected: s.expected, hedge: hedge, paidFrom: paidFrom, suspected: s.suspected}
 	s.part.sends = append(s.part.sends, send)
 	s.part.tried = append(s.part.tried, to.health)
 	s.part.possibleRuns++
@@ -126,6 +173,7 @@
 		s.trace.Answered = 1
 		return Result{Answer: &received.outcome, Trace: s.trace}, true
 	}
+	s.suspected = s.suspected || received.crashed
 	s.part.reason = received.outcome.Reason
 	s.part.reachedReplica = s.part.reachedReplica || !received.outcome.Unsent
 	s.trace.Failed++
@@ -136,6 +184,9 @@
 	case received.outcome.Reason == verdict.ServerError:
 		s.lastFailure = &received.outcome
 	}
+	if received.standing == quarantine.Held {
+		return s.refuse(quarantinedError(s.verdict(), s.engine.quarantine.UntilTrial(s.request.fingerprint(), now))), true
+	}
 	if s.part.inFlight() {
 		return Result{}, false
 	}
@@ -216,7 +267,7 @@
 // hedgeAt returns when the request is hedged; false means never.
 func (s *single) hedgeAt() (time.Time, bool) {
 	route := s.request.Route
-	if !route.Idempotent || s.part.possibleRuns >= s.request.maxAttempts() || len(s.part.sends) == 0 {
+	if !route.Idempotent || s.suspected || s.part.possibleRuns >= s.request.maxAttempts() || len(s.part.sends) == 0 {
 		return time.Time{}, false
 	}
 	last := s.part.sends[len(s.part.sends)-1]
--- a/internal/lookup/zone_monitor.go
+++ b/internal/lookup/zone_monitor.go
@@ -44,6 +44,9 @@
 // connection is permitted, which says nothing about the replica.
 type Prober interface {
 	Probe(ctx context.Context, to directory.Replica) error
+	// Refuses reports whether the replica's address refuses connections, as that of a process that has ended does. It
+	// returns false if there is no answer in time.
+	Refuses(ctx context.Context, to directory.Replica) bool
 }
 
 // zoneMonitor tracks which other zones are unreachable. A suspected zone counts as unreachable only after replicas of
--- a/pkg/verdict/reason.go
+++ b/pkg/verdict/reason.go
@@ -46,6 +46,7 @@
 	NoConfiguration                  // no-configuration
 	UnknownRoute                     // unknown-route
 	RequestTooLarge                  // request-too-large
+	Quarantined                      // quarantined
 
 	reasonCount = iota
 )
--- a/pkg/verdict/reason_string.go
+++ b/pkg/verdict/reason_string.go
@@ -44,11 +44,12 @@
 	_ = x[NoConfiguration-33]
 	_ = x[UnknownRoute-34]
 	_ = x[RequestTooLarge-35]
+	_ = x[Quarantined-36]
 }
 
-const _Reason_name = "noneinvalid-requestunknown-applicationunknown-sharddeadline-too-shortdeadline-passedoverloadedsheddingno-replicaversion-not-heldno-snapshotcoverage-below-floorconnect-failedconnection-lostsilent-connectionbad-answernot-ownerfencedpeer-unreachablehedge-refusedcoldleavingzone-outinstance-outnot-readyticket-unknownticket-reusedticket-expiredcancelledunauthorisedserver-errorresult-droppedmisdirectedno-configurationunknown-routerequest-too-large"
+const _Reason_name = "noneinvalid-requestunknown-applicationunknown-sharddeadline-too-shortdeadline-passedoverloadedsheddingno-replicaversion-not-heldno-snapshotcoverage-below-floorconnect-failedconnection-lostsilent-connectionbad-answernot-ownerfencedpeer-unreachablehedge-refusedcoldleavingzone-outinstance-outnot-readyticket-unknownticket-reusedticket-expiredcancelledunauthorisedserver-errorresult-droppedmisdirectedno-configurationunknown-routerequest-too-largequarantined"
 
-var _Reason_index = [...]uint16{0, 4, 19, 38, 51, 69, 84, 94, 102, 112, 128, 139, 159, 173, 188, 205, 215, 224, 230, 246, 259, 263, 270, 278, 290, 299, 313, 326, 340, 349, 361, 373, 387, 398, 414, 427, 444}
+var _Reason_index = [...]uint16{0, 4, 19, 38, 51, 69, 84, 94, 102, 112, 128, 139, 159, 173, 188, 205, 215, 224, 230, 246, 259, 263, 270, 278, 290, 299, 313, 326, 340, 349, 361, 373, 387, 398, 414, 427, 444, 455}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
