--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -35,7 +35,7 @@
 	e.crashes = crashes[max(0, len(crashes)-maxCrashes):]
 	e.changedAt = now
 	if e.holds == 0 && len(e.crashes) >= minCrashes && slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.Suspected }) {
-		e = e.withHold(1, now.Add(holdTime(1)), now)
+		e = e.withHold(1, crash.At.Add(holdTime(1)), now)
 	}
 	return e, true
 }
