--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -12,9 +12,9 @@
 	// hedgeDelayShare is the share of the latency objective after which a part without an answer is hedged. A part
 	// whose replica is found stalled is hedged earlier.
 	hedgeDelayShare = 0.38
-	// unansweredHedgeShare is the share of the parts that may be hedged before any has been answered. If no replica
-	// answers in the usual time, the request itself may be the reason, and hedges would spread it.
-	unansweredHedgeShare = 0.1
+	// minShardsToDoubt is the number of shards from which a request is not hedged before any replica has answered it: if
+	// none of so many does in the usual time, the request itself may be the reason, and hedges would spread it.
+	minShardsToDoubt = 4
 	// checkInterval is how often a request checks whether the replicas that it waits for have stalled.
 	checkInterval = 8 * time.Millisecond
 	// rejectedRetryDelay is the delay before a replica that rejected a part is asked again.
@@ -315,7 +315,7 @@
 // wantsHedge reports whether a part should be hedged now. It returns false if the part was already hedged or has used
 // up the route's attempts, and once the merged answer is due.
 func (f *fanout) wantsHedge(p *part, now time.Time) bool {
-	if f.answered == 0 && f.trace.Hedges >= max(1, int(unansweredHedgeShare*float64(len(f.parts)))) {
+	if f.answered == 0 && len(f.parts) >= minShardsToDoubt {
 		return false
 	}
 	if len(p.sends) == 0 || p.suspected || p.possibleRuns >= f.request.maxAttempts() || now.After(f.answerDueAt) {
