platform, follow, directory: entries with odd numbers, names or ports name nothing to use

An instance's entry without a zone or with such an address counted among those that bounds are divided among, and a time-out of -1e300 ms refused all requests of its route.

--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
 
 	"github.com/medlarlatch/medlarlatch/internal/directory"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
@@ -80,17 +82,18 @@
 // decode converts a message into an update. Routes continue the weighted distribution of the previous table, which may
 // be nil.
 func (m *updateMessage) decode(previous *routing.Table, now time.Time) (Update, error) {
-	update := Update{Position: Position{Era: m.Era, Revision: m.Revision}, Age: time.Duration(m.AgeMillis) * time.Millisecond, Full: m.Full}
+	update := Update{Position: Position{Era: m.Era, Revision: m.Revision}, Age: millis(m.AgeMillis), Full: m.Full}
 	for _, encoded := range m.Changes {
 		change := directory.Change{
 			ReplicaID: encoded.ReplicaID, RegisteredReplica: encoded.RegisteredReplica, Zone: encoded.Zone, InstanceID: encoded.InstanceID,
 			RegisteredInstance: encoded.RegisteredInstance, Deleted: encoded.Deleted,
 		}
+		dropUnusable(&change)
 		if encoded.RemoveInMillis > 0 {
-			change.RemoveAt = now.Add(time.Duration(encoded.RemoveInMillis) * time.Millisecond)
+			change.RemoveAt = now.Add(millis(encoded.RemoveInMillis))
 		}
 		if change.RegisteredReplica != nil && encoded.ColdMillis > 0 {
-			change.RegisteredReplica.ColdUntil = now.Add(time.Duration(encoded.ColdMillis) * time.Millisecond)
+			change.RegisteredReplica.ColdUntil = now.Add(millis(encoded.ColdMillis))
 		}
 		if table := encoded.Table; table != nil {
 			if slices.Contains(table.Routes, nil) {
@@ -104,6 +107,32 @@
 	return update, nil
 }
 
+// maxMessageTime bounds the times in a peer's message, which would otherwise overflow.
+const maxMessageTime = 365 * 24 * time.Hour
+
+func millis(count int64) time.Duration {
+	return time.Duration(max(0, min(count, maxMessageTime.Milliseconds()))) * time.Millisecond
+}
+
+// dropUnusable removes an entry that names no replica or instance to use, as a peer of another build may send it. What it
+// replaces is then removed.
+func dropUnusable(change *directory.Change) {
+	var err error
+	if change.RegisteredReplica != nil {
+		if err = change.RegisteredReplica.Check(); err != nil {
+			change.RegisteredReplica = nil
+		}
+	}
+	if change.RegisteredInstance != nil {
+		if err = errors.Join(err, change.RegisteredInstance.Check()); err != nil {
+			change.RegisteredInstance = nil
+		}
+	}
+	if err != nil {
+		klog.InfoS("Entry of a peer not usable", "replica", change.ReplicaID, "instance", change.InstanceID, "err", err)
+	}
+}
+
 // Client calls peers through a peerrpc.Client. It implements Peers.
 type Client struct {
 	// CurrentTable returns the table in force, or nil.
