lookup, platform: a stopping instance answers every request that it takes

Another operator reported requests that came late in the grace period of a planned stop, were passed on and then cut without an answer.

--- a/internal/lookup/engine.go
+++ b/internal/lookup/engine.go
@@ -100,8 +100,11 @@
 	quarantine  *quarantine.Ledger
 	canaryTurns canaryTurns
 	lastCrashAt atomic.Int64 // Unix nanoseconds
-	prober      Prober       // may be nil
-	networks    callerNetworks
+	// stopped is closed when the requests in progress are to end.
+	stopped  chan struct{}
+	stopOnce sync.Once
+	prober   Prober // may be nil
+	networks callerNetworks
 
 	// updateMutex guards the state of replicas, zones and services that outlives a replicaView.
 	updateMutex sync.Mutex
@@ -128,6 +131,7 @@
 		zones:             make(map[fleet.ZoneID]*zoneReachability),
 		budgets:           make(map[fleet.ServiceID]*retryBudget),
 		partition:         newPartitionMonitor(),
+		stopped:           make(chan struct{}),
 		zoneMonitor:       zoneMonitor{suspectedSince: make(map[fleet.ZoneID]time.Time)},
 	}
 	if e.quarantine == nil {
@@ -167,6 +171,20 @@
 	return e.routeStatsOf(route).memory.OpenReservation()
 }
 
+// MeanSendTime returns the mean time of a send for the route, or a guess before any was measured.
+func (e *Engine) MeanSendTime(route *routing.Route) time.Duration {
+	return e.routeStatsOf(route).meanSendTime()
+}
+
+// Stop ends the requests in progress at once, each with a failure that says whether it may have run. It may be called
+// more than once.
+func (e *Engine) Stop() { e.stopOnce.Do(func() { close(e.stopped) }) }
+
+// stoppedError is the failure of a request that Stop has ended.
+func stoppedError(ran verdict.Verdict) *verdict.Error {
+	return verdict.New(ran, verdict.InstanceOut, "the instance stopped before the answer").WithRetryAfter(defaultRetryAfter)
+}
+
 // Running returns the number of requests in progress.
 func (e *Engine) Running() int64 { return e.running.Load() }
 
--- a/internal/lookup/fanout.go
+++ b/internal/lookup/fanout.go
@@ -137,6 +137,8 @@
 		case <-f.canary.turnEnds:
 			f.canary.turnEnds = nil
 			f.advanceCanary(time.Now())
+		case <-f.engine.stopped:
+			return f.refuse(stoppedError(f.verdict()))
 		case <-f.ctx.Done():
 			return f.refuse(f.cancelledError())
 		}
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -92,6 +92,8 @@
 				return result
 			}
 		case <-timer.C:
+		case <-s.engine.stopped:
+			return s.refuse(stoppedError(s.verdict()))
 		case <-s.ctx.Done():
 			return s.refuse(verdict.New(s.verdict(), verdict.Cancelled, "the caller cancelled the request"))
 		}
