--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -71,7 +71,8 @@
 	// Reply is the reply of the instance By; nil if no instance ran the request.
 	Reply *Reply
 	By    fleet.InstanceID
-	// Failure is set if an instance may have run the request, but its reply is not known, or if the caller has gone.
+	// Failure is set if an instance may have run the request, but its reply is not known, if the caller has gone, or if
+	// the request is quarantined.
 	Failure *verdict.Error
 	// Tries is the number of instances that were asked.
 	Tries int
@@ -98,6 +99,11 @@
 			f.recordAnswer(route, helper, &reply, now)
 			result.Reply, result.By = &reply, helper.ID
 			return result
+		case err == nil && reply.Quarantined:
+			f.counters.Refused.Add(1)
+			result.Failure = verdict.New(verdict.NotRun, verdict.Quarantined, "instance %s holds the request", helper.ID).
+				WithRetryAfter(time.Duration(reply.RetryAfterMillis) * time.Millisecond)
+			return result
 		case err == nil:
 			f.helpers.Refused(route.Name, helper.ID, reply.Unreachable, time.Duration(reply.RetryAfterMillis)*time.Millisecond, now)
 			continue
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -285,3 +285,17 @@
 		})
 	}
 }
+
+// TestQuarantinedElsewhere guards against a quarantined request that is offered to one instance after the other.
+func TestQuarantinedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		holds := behaviour{reply: Reply{Refused: true, Quarantined: true, Reason: verdict.NoReplica, RetryAfterMillis: 90_000}, sent: true}
+		f, peers := newForwarder(1, holds, holds, holds)
+		result := f.Forward(t.Context(), &routing.Route{Name: "r"}, Request{}, time.Now().Add(time.Second))
+		is.Equal(len(peers.asked), 1)
+		is.Equal(result.Failure.Reason, verdict.Quarantined)
+		is.Equal(result.Failure.Verdict, verdict.NotRun)
+		is.Equal(result.Failure.RetryAfter, 90*time.Second)
+	})
+}
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -29,6 +29,9 @@
 	// Refused is set if the instance did not run the request and never will. There is no Message then.
 	Refused bool           `json:"refused,omitempty"`
 	Reason  verdict.Reason `json:"reason"`
+	// Quarantined is set if the instance refused because the request crashes replicas, so that no other one serves it
+	// either. Reason does not say so, because the reasons of one build must be known to the one before.
+	Quarantined bool `json:"quarantined,omitempty"`
 	// Unreachable is set if the instance refused because it does not reach the replicas either.
 	Unreachable      bool  `json:"unreachable,omitempty"`
 	RetryAfterMillis int64 `json:"retry-after-millis,omitempty"`
