--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -298,3 +298,20 @@
 		})
 	}
 }
+
+// TestPeerAheadGetsNothing guards against an instance that has not heard of a restore of the store and sets back a peer
+// that has.
+func TestPeerAheadGetsNothing(t *testing.T) {
+	is := is.New(t)
+	j, now := newJournal(), time.Now()
+	change := directory.Change{ReplicaID: "r", RegisteredReplica: &directory.Replica{ID: "r", Service: "s"}}
+	j.record(j.state.Apply([]directory.Change{change}, now), 0, 5)
+	j.position = Position{Era: 1, Revision: 5}
+	is.Equal(len(j.updateSince(Position{Era: 1, Revision: 3}, now).Changes), 1)
+	for _, revision := range []uint64{0, 3, 9} {
+		update := j.updateSince(Position{Era: 2, Revision: revision}, now)
+		is.Equal(len(update.Changes), 0)
+		is.True(!update.Full)
+		is.Equal(update.Position, j.position) // by which the peer sees that this instance is behind
+	}
+}
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -46,6 +46,7 @@
 	mutex     sync.Mutex
 	behaviour map[string]behaviour
 	asked     []string
+	remaining []float64
 	numbers   map[uint64]bool
 }
 
@@ -53,6 +54,7 @@
 	p.mutex.Lock()
 	b := p.behaviour[address]
 	p.asked = append(p.asked, address)
+	p.remaining = append(p.remaining, request.RemainingMillis)
 	if p.numbers[request.Number] {
 		return Reply{}, true, errors.New("the number was used before")
 	}
@@ -299,3 +301,17 @@
 		is.Equal(result.Failure.RetryAfter, 90*time.Second)
 	})
 }
+
+// TestRemainingTime guards against an instance that is given more time than the caller has left: each one that is asked is
+// told what is left then.
+func TestRemainingTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, peers := newForwarder(1, busy, busy, busy)
+		f.Forward(t.Context(), &routing.Route{Name: "r"}, Request{RemainingMillis: 60_000}, time.Now().Add(500*time.Millisecond))
+		is.Equal(len(peers.remaining), 3)
+		for i, remaining := range peers.remaining {
+			is.Equal(remaining, 500-float64(i)*float64(roundTrip.Milliseconds()))
+		}
+	})
+}
--- a/internal/forwarding/server_test.go
+++ b/internal/forwarding/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -142,3 +143,35 @@
 	is.True(err != nil)
 	is.True(!sent)
 }
+
+// TestServedAtATime guards against peers that make an instance hold requests without bound: beyond maxServed they are
+// refused as not run, and one that ends makes room for the next.
+func TestServedAtATime(t *testing.T) {
+	is := is.New(t)
+	h := &blockingHandler{started: make(chan struct{}, 2*maxServed), cancelled: make(chan struct{}, 2*maxServed), release: make(chan struct{})}
+	s := NewServer(h)
+	replies := make(chan Reply, 2*maxServed)
+	ask := func(number int) {
+		reply, err := s.answerForward(t.Context(), fmt.Appendf(nil, `{"origin":"o","number":%d}`, number))
+		is.NoErr(err)
+		replies <- reply.(Reply)
+	}
+	for number := range maxServed {
+		go ask(number)
+	}
+	for range maxServed {
+		<-h.started
+	}
+	go ask(maxServed)
+	select {
+	case reply := <-replies:
+		is.Equal(reply, Reply{Refused: true, Reason: verdict.Overloaded})
+	case <-h.started:
+		t.Fatalf("request %d was taken", maxServed+1)
+	}
+	h.release <- struct{}{}
+	is.True(!(<-replies).Refused)
+	go ask(maxServed + 1)
+	<-h.started
+	close(h.release)
+}
