lookup: a suspected request waits 250 ms at most for its turn; a panic in the crash check ends nothing

Read, not seen: a request that waits for another one with its fingerprint to be tried waited until its deadline and was then refused as not run; a panic of the prober would have ended the process and left others waiting for the check; and after a failed canary the request no longer checked whether its floor can be reached. TestSuspectedRequestDoesNotWaitLong and TestPanicInCrashCheck fail without the change.

--- a/internal/lookup/canary.go
+++ b/internal/lookup/canary.go
@@ -72,13 +72,18 @@
 	sends int
 	// cautious is set if nothing is known against the request, but other requests have lately crashed replicas.
 	cautious bool
-	// failed is set if no replica is left to try.
+	// failed is set if no replica is left to try, or if it was not the request's turn for too long.
 	failed bool
 }
 
+// inProgress reports whether the canary send has no outcome yet.
+func (c *canary) inProgress() bool { return c.send != nil && !c.send.ended }
+
 const (
 	// maxCanarySends bounds the canary sends of one request, including those that replicas rejected.
 	maxCanarySends = 6
+	// maxCanaryWait is how long a request of which nothing was sent waits for its turn: a few tries of others.
+	maxCanaryWait = 250 * time.Millisecond
 	// maxUnansweredCrashes is the number of crashes without an answer after which the sends in flight are abandoned: they
 	// may still wait in the queues of replicas.
 	maxUnansweredCrashes = 3
@@ -134,6 +139,9 @@
 	case standing == quarantine.Held && f.standing != quarantine.OnTrial:
 		f.held = true
 		return
+	case f.trace.Sends == 0 && now.Sub(f.request.ArrivedAt) > maxCanaryWait:
+		c.failed = true
+		return
 	case !c.turn && c.turnEnds == nil:
 		c.turnEnds, c.turn = f.engine.canaryTurns.begin(f.request.fingerprint())
 	}
--- a/internal/lookup/crash.go
+++ b/internal/lookup/crash.go
@@ -8,6 +8,7 @@
 
 	"github.com/medlarlatch/medlarlatch/internal/directory"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
+	"github.com/medlarlatch/medlarlatch/internal/panics"
 	"github.com/medlarlatch/medlarlatch/internal/quarantine"
 	"github.com/medlarlatch/medlarlatch/pkg/verdict"
 )
@@ -33,9 +34,7 @@
 		return running
 	}
 	if !running {
-		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-		defer cancel()
-		crashed, now := e.prober.Refuses(ctx, to.Replica), time.Now()
+		crashed, now := e.refuses(to), time.Now()
 		if crashed {
 			e.lastCrashAt.Store(now.UnixNano())
 		}
@@ -45,6 +44,14 @@
 	return check.crashed
 }
 
+// refuses reports whether the replica refuses a connection. A panic in the Prober says nothing about the replica.
+func (e *Engine) refuses(to *member) (refused bool) {
+	defer panics.Recover("check whether a replica has crashed", func() { refused = false })
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	return e.prober.Refuses(ctx, to.Replica)
+}
+
 // joinCrashCheck returns the running check, or a new one that the caller must run and end; running says which. It returns
 // nil if the answer, which running then is, is known already.
 func (h *replicaHealth) joinCrashCheck() (check *crashCheck, running bool) {
--- a/internal/lookup/deadly_request_test.go
+++ b/internal/lookup/deadly_request_test.go
@@ -1,6 +1,7 @@
 package lookup
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/medlarlatch/medlarlatch/internal/directory"
 	"github.com/medlarlatch/medlarlatch/internal/fleet"
 	"github.com/medlarlatch/medlarlatch/internal/quarantine"
 	"github.com/medlarlatch/medlarlatch/internal/routing"
@@ -236,3 +238,47 @@
 		is.Equal(len(f.stored), 0)
 	})
 }
+
+// TestSuspectedRequestDoesNotWaitLong guards against a suspected request that is held until its deadline because another one
+// with its fingerprint is being tried, to one replica or to all shards.
+func TestSuspectedRequestDoesNotWaitLong(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newCrashFleet(t, 1, 20)
+		defer f.stopAll()
+		identity := quarantine.NewFingerprint([]byte("request"))
+		f.ledgers[0].RecordCrash(identity, quarantine.Crash{Replica: "r", Service: "s0", At: time.Now()})
+		_, begun := f.engines[0].canaryTurns.begin(identity)
+		is.True(begun)
+		for _, route := range []*routing.Route{f.fanoutRoute, f.singleRoute} {
+			began := time.Now()
+			result := f.run(0, route, "request")
+			is.True(result.Failure != nil)
+			is.Equal(result.Failure.Verdict, verdict.NotRun)
+			is.True(result.Failure.RetryAfter > 0)
+			is.True(time.Since(began) <= maxCanaryWait+2*checkInterval)
+		}
+		f.engines[0].canaryTurns.end(identity)
+		is.True(f.run(0, f.fanoutRoute, "request").Failure == nil)
+	})
+}
+
+// panickingProber panics when it is asked whether a replica refuses connections.
+type panickingProber struct{ Prober }
+
+func (panickingProber) Refuses(context.Context, directory.Replica) bool { panic("bug") }
+
+// TestPanicInCrashCheck guards against an unexpected error in the check of a replica that takes the process down, or that
+// keeps other requests waiting for its result.
+func TestPanicInCrashCheck(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newCrashFleet(t, 1, 20)
+		defer f.stopAll()
+		f.engines[0].prober = panickingProber{f}
+		f.lose = 0.3
+		for range 5 {
+			is.True(f.run(0, f.fanoutRoute, "request").Trace.Sends > 0)
+		}
+	})
+}
--- a/internal/lookup/fanout_result.go
+++ b/internal/lookup/fanout_result.go
@@ -26,7 +26,7 @@
 		return f.refuse(f.belowFloorError("too many shards failed")), true
 	case !now.Before(f.giveUpAt):
 		return f.refuse(f.belowFloorError("too few shards answered before the deadline")), true
-	case ticked && f.canary.send == nil && f.answered+f.answerableParts(now) < f.required:
+	case ticked && !f.canary.inProgress() && f.answered+f.answerableParts(now) < f.required:
 		return f.refuse(f.belowFloorError("too few shards have a replica that is expected to answer")), true
 	}
 	return Result{}, false
