--- a/internal/lookup/canary.go
+++ b/internal/lookup/canary.go
@@ -57,6 +57,12 @@
 	delete(r.running, identity)
 }
 
+// releaseCanary lets the next request with the fingerprint be tried, here or at another instance.
+func (e *Engine) releaseCanary(identity quarantine.Fingerprint) {
+	e.quarantine.Unclaim(identity)
+	e.canaryTurns.end(identity)
+}
+
 // canary is the state of a suspected request. Until a replica has answered the request it is sent to one replica at a time.
 type canary struct {
 	// active is set until a replica has answered the request.
@@ -147,9 +153,7 @@
 	}
 	settled := c.cautious || now.Sub(f.engine.lastCrash()) >= crashSettleTime
 	if c.turn && (f.standing == quarantine.OnTrial || f.engine.quarantine.Claim(f.request.fingerprint(), now)) && settled {
-		if c.failed = !f.sendCanary(now); c.failed {
-			f.engine.quarantine.Unclaim(f.request.fingerprint())
-		}
+		c.failed = !f.sendCanary(now)
 	}
 }
 
@@ -252,6 +256,6 @@
 func (f *fanout) releaseTurn() {
 	if f.canary.turn {
 		f.canary.turn = false
-		f.engine.canaryTurns.end(f.request.fingerprint())
+		f.engine.releaseCanary(f.request.fingerprint())
 	}
 }
--- a/internal/lookup/single.go
+++ b/internal/lookup/single.go
@@ -144,7 +144,7 @@
 // releaseTurn lets the next request with the same fingerprint be tried.
 func (s *single) releaseTurn() {
 	if s.turn {
-		s.engine.canaryTurns.end(s.request.fingerprint())
+		s.engine.releaseCanary(s.request.fingerprint())
 	}
 }
 
--- a/internal/quarantine/claim.go
+++ b/internal/quarantine/claim.go
@@ -45,7 +45,7 @@
 	return e.claim.by == l.self && now.Sub(e.claim.at) >= claimDelay
 }
 
-// Unclaim gives up a claim that led to no send.
+// Unclaim ends the claim of this instance.
 func (l *Ledger) Unclaim(identity Fingerprint) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -33,7 +33,7 @@
 
 // withCrash returns the entry with another crash, and whether that is new.
 func (e entry) withCrash(crash Crash, now time.Time) (entry, bool) {
-	if !crash.At.After(e.clearedAt) || slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.sameProcess(crash.Replica, crash.StartedAt) }) {
+	if !crash.At.After(e.clearedAt) || e.sharesProcess(crash) {
 		return e, false
 	}
 	crashes := append(slices.Clone(e.crashes), crash)
@@ -86,7 +86,7 @@
 	if len(e.crashes) == 0 {
 		return e.withClearing(now, now)
 	}
-	if len(e.crashes) < minCrashes {
+	if !e.blamed() {
 		e.holds, e.heldUntil = 0, time.Time{}
 	}
 	return e
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -43,7 +43,9 @@
 	mutex     sync.Mutex
 	entries   map[Fingerprint]entry
 	instances []fleet.InstanceID
-	losses    []loss
+	// crashed has the processes of all crashes of the entries.
+	crashed map[process]inProgress
+	losses  []loss
 	// recentHolds are the latest requests that were found to crash replicas, at most cautionHolds.
 	recentHolds []recentHold
 	// unshared are the entries that changed here since the last call of takeUnshared; unarchived those whose hold began
@@ -54,7 +56,7 @@
 // NewLedger returns an empty ledger for the instance self.
 func NewLedger(self fleet.InstanceID) *Ledger {
 	return &Ledger{
-		self: self, entries: make(map[Fingerprint]entry), changed: make(chan struct{}, 1), archivable: make(chan struct{}, 1),
+		self: self, entries: make(map[Fingerprint]entry), crashed: make(map[process]inProgress), changed: make(chan struct{}, 1), archivable: make(chan struct{}, 1),
 		unshared: make(map[Fingerprint]struct{}), unarchived: make(map[Fingerprint]struct{}),
 	}
 }
@@ -161,6 +163,9 @@
 	if before.expired(now) {
 		before = entry{clearedAt: before.clearedAt}
 	}
+	if l.explained(identity, crash) {
+		return standingOf(before)
+	}
 	after, added := before.withCrash(crash, now)
 	if added {
 		after.local = true
@@ -189,6 +194,7 @@
 	case after.held() && !before.held():
 		l.counters.Quarantined.Add(1)
 		l.noteHold(identity, after, crash.At)
+		l.explainOthers(identity, after)
 		l.archiveLater(identity)
 		klog.InfoS("Request quarantined", "fingerprint", identity, "crashes", len(after.crashes), "replicas", replicasOf(after.crashes), "until-trial", time.Until(after.heldUntil).Round(time.Second))
 	case !after.held():
@@ -242,7 +248,7 @@
 func (l *Ledger) RecordAlive(replica fleet.ServerID, startedAt int64, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	isThis := func(c Crash) bool { return c.sameProcess(replica, startedAt) }
+	isThis := func(c Crash) bool { return c.process() == process{replica, startedAt} }
 	for identity, before := range l.entries {
 		if slices.ContainsFunc(before.crashes, isThis) {
 			l.clear(identity, before, before.withoutCrashes(isThis, now), "replica "+string(replica)+" still runs")
@@ -268,6 +274,8 @@
 		l.evict()
 	}
 	l.entries[identity] = e
+	l.countProcesses(before, -1)
+	l.countProcesses(e, 1)
 	l.known.Add(knownCount(e) - knownCount(before))
 }
 
@@ -293,6 +301,7 @@
 
 // drop removes an entry. The caller holds the lock.
 func (l *Ledger) drop(identity Fingerprint) {
+	l.countProcesses(l.entries[identity], -1)
 	l.known.Add(-knownCount(l.entries[identity]))
 	delete(l.entries, identity)
 	delete(l.unshared, identity)
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -103,6 +103,36 @@
 	}
 }
 
+// TestExplainedCrashes guards against a request that is held for the crashes of another one: it was in progress at the same
+// replicas, also where it went alone. Whichever is held first, at this instance or at another one, only the deadly one
+// stays so.
+func TestExplainedCrashes(t *testing.T) {
+	deadly, innocent := NewFingerprint([]byte("deadly")), NewFingerprint([]byte("innocent"))
+	for name, first := range map[string]Fingerprint{"deadly one first": deadly, "other one first": innocent} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ledgers := []*Ledger{NewLedger("i0"), NewLedger("i1")}
+			l, second := ledgers[0], innocent
+			if first == innocent {
+				second = deadly
+			}
+			crash(l, first, 1, 2, 3)
+			crash(l, second, 1, 2, 3)
+			is.Equal(l.Peek(first, []fleet.ServiceID{"s"}, start.Add(4*time.Second)), Held)
+			is.True(l.Peek(second, []fleet.ServiceID{"s"}, start.Add(4*time.Second)) != Held)
+			for n := 4; n < 7; n++ { // the deadly one crashes replicas alone
+				l.RecordCrash(deadly, crashAt(n, "s", float64(n), true))
+			}
+			l.RecordAnswer(innocent, "s", start.Add(8*time.Second))
+			shareAll(is, ledgers, 0, start.Add(9*time.Second))
+			for _, l := range ledgers {
+				is.Equal(l.Peek(deadly, []fleet.ServiceID{"s"}, start.Add(9*time.Second)), Held)
+				is.Equal(l.Peek(innocent, []fleet.ServiceID{"s"}, start.Add(9*time.Second)), Unsuspected)
+			}
+		})
+	}
+}
+
 // TestTrialsAreRare guards against trials of a held request that cost many replicas: over a month, with the request
 // coming each ten seconds at each of the instances and crashing the replica each time.
 func TestTrialsAreRare(t *testing.T) {
@@ -191,12 +221,13 @@
 	for i := range 4 * maxEntries {
 		m := entryMessage{Fingerprint: NewFingerprint([]byte(fmt.Sprint(i))), Holds: 4, HeldMillis: 1 << 60}
 		for n := range 3 {
-			m.Crashes = append(m.Crashes, crashMessage{Replica: fleet.ServerID(fmt.Sprint(n)), Service: "s", Suspected: true})
+			m.Crashes = append(m.Crashes, crashMessage{Replica: fleet.ServerID(fmt.Sprint(i, n)), Service: "s", Suspected: true})
 		}
 		l.merge([]entryMessage{m}, nil, start.Add(time.Duration(i)*time.Second))
 	}
 	is.True(len(l.entries) <= maxEntries)
 	is.Equal(l.Peek(request, []fleet.ServiceID{"s"}, start.Add(5*time.Hour)), Held)
+	is.True(len(l.crashed) <= maxEntries*maxCrashes)
 	for _, e := range l.entries {
 		is.True(!e.heldUntil.After(start.Add(10 * 24 * time.Hour)))
 	}
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -103,7 +103,7 @@
 	if e.known() && !e.held() && other.claim.precedes(e.claim, now) {
 		e.claim, changed = other.claim, true
 	}
-	if len(e.crashes) >= minCrashes && other.holds > e.holds {
+	if e.blamed() && other.holds > e.holds {
 		return e.withHold(other.holds, other.heldUntil, now), true
 	}
 	return e, changed
@@ -124,6 +124,7 @@
 			other = other.without(disproved)
 		}
 		identity := messages[i].Fingerprint
+		other = other.without(func(crash Crash) bool { return l.explained(identity, crash) })
 		before := l.entries[identity]
 		after, changed := before.merge(other, now)
 		if after.holds > other.holds && other.known() {
@@ -136,6 +137,7 @@
 		news = append(news, messages[i])
 		if after.held() && !before.held() {
 			l.noteHold(identity, after, now)
+			l.explainOthers(identity, after)
 			klog.InfoS("Request quarantined by other instances", "fingerprint", identity, "crashes", len(after.crashes), "replicas", replicasOf(after.crashes), "until-trial", after.heldUntil.Sub(now).Round(time.Second))
 		}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -71,7 +71,3 @@
 	// against the request at this service.
 	Answered bool
 }
-
-func (c Crash) sameProcess(replica fleet.ServerID, startedAt int64) bool {
-	return c.Replica == replica && c.StartedAt == startedAt
-}
