quarantine: check what peers say without holding the ledger's lock

Cause: a deadlock. A merge of a peer's report held the ledger's lock and asked the engine when a replica had last answered, which takes the engine's lock; an update of the engine held that and confirmed losses, which takes the ledger's. Instances lost sightings and updates, and callers got 404 for routes that were there. Now the check runs before the lock is taken. TestMergeCallsOutWithoutLock fails without the change.

--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -261,6 +261,26 @@
 	}
 }
 
+// TestMergeCallsOutWithoutLock guards against instances that stop following the store: a check of what a peer says waited for
+// the engine, whose update waited for the ledger.
+func TestMergeCallsOutWithoutLock(t *testing.T) {
+	l := NewLedger("i0")
+	merged := make(chan struct{})
+	go func() {
+		defer close(merged)
+		m := entryMessage{Fingerprint: NewFingerprint([]byte("request")), Crashes: []crashMessage{{Replica: "r", Service: "s"}}}
+		l.merge([]entryMessage{m}, func(Crash) bool {
+			l.ConfirmLosses(func(string) int64 { return 0 }, start)
+			return false
+		}, start)
+	}()
+	select {
+	case <-merged:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the check waits for the ledger")
+	}
+}
+
 // TestRestore guards against held requests that the store keeps and that instances that start do not read, and against
 // values of another writer.
 func TestRestore(t *testing.T) {
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -110,18 +110,23 @@
 }
 
 // merge adds what another instance knows, and returns the messages that said anything new. disproved reports whether a
-// crash cannot have happened; it may be nil.
+// crash cannot have happened; it may be nil. It is called without the lock, because it may wait for one whose holder calls
+// the ledger.
 func (l *Ledger) merge(messages []entryMessage, disproved func(Crash) bool, now time.Time) (news []entryMessage) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
+	others := make([]entry, len(messages))
+	valid := make([]bool, len(messages))
 	for i := range messages {
-		other, ok := messages[i].decode(now)
-		if !ok {
+		if others[i], valid[i] = messages[i].decode(now); !valid[i] {
 			klog.InfoS("Entry of another instance ignored", "fingerprint", messages[i].Fingerprint)
-			continue
+		} else if disproved != nil {
+			others[i] = others[i].without(disproved)
 		}
-		if disproved != nil {
-			other = other.without(disproved)
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for i, other := range others {
+		if !valid[i] {
+			continue
 		}
 		identity := messages[i].Fingerprint
 		other = other.without(func(crash Crash) bool { return l.explained(identity, crash) })
