--- a/review/rig/backlog.go
+++ b/review/rig/backlog.go
@@ -7,9 +7,7 @@
 )
 
 const (
-	// backlogGrowths is how often the configuration grows.
-	backlogGrowths = 12
-	freezeFor      = 4 * time.Second
+	freezeFor = 4 * time.Second
 	// two storms of this kind come during the freeze
 	quickStormTime = 1500 * time.Millisecond
 	quickStormGap  = 60 * time.Millisecond
@@ -25,7 +23,7 @@
 	memory   *memoryWatch
 }
 
-func newBacklogWorld(k *crowd, work time.Duration, memoryMB int) *backlogWorld {
+func newBacklogWorld(k *crowd, work time.Duration, memoryMB, growths int) *backlogWorld {
 	w := &backlogWorld{store: newStore()}
 	zones := []string{"lima-a", "lima-b", "lima-c"}
 	var replicas []*replica
@@ -46,7 +44,7 @@
 	awaitReady(w.all)
 	w.memory = watchMemory(w.all)
 	time.Sleep(time.Second)
-	for range backlogGrowths {
+	for range growths {
 		if trouble {
 			w.operator.more += growth
 		}
@@ -95,7 +93,7 @@
 	k.onAnswer = func(sent time.Time, at *instance, service string) {
 		results = append(results, result{sent, at.name, service})
 	}
-	w := newBacklogWorld(k, 20*time.Millisecond, 414) // the smallest machines of guaman-latch
+	w := newBacklogWorld(k, 20*time.Millisecond, 414, 12) // the smallest machines of guaman-latch
 	k.start(w.all, 2, 150*time.Millisecond, time.Now().Add(32*time.Second))
 	time.Sleep(2 * time.Second)
 	version, confirmed := w.freezeInStorm()
@@ -131,8 +129,8 @@
 // peersCase: the instance that was frozen asks the others for what changed meanwhile, and these exceed their memory.
 func peersCase() {
 	k := newCrowd()
-	w := newBacklogWorld(k, 180*time.Millisecond, 284) // the smallest machines of pnky-lima
-	k.start(w.all, 15, 150*time.Millisecond, time.Now().Add(30*time.Second))
+	w := newBacklogWorld(k, 180*time.Millisecond, 284, 15) // the smallest machines of pnky-lima
+	k.start(w.all, 24, 150*time.Millisecond, time.Now().Add(30*time.Second))
 	time.Sleep(2 * time.Second)
 	w.freezeInStorm()
 	k.running.Wait()
--- a/review/rig/journal.go
+++ b/review/rig/journal.go
@@ -30,7 +30,7 @@
 	awaitReady(all)
 	memory := watchMemory(all)
 	end := time.Now().Add(length)
-	k.start(all, 15, 150*time.Millisecond, end)
+	k.start(all, 24, 150*time.Millisecond, end)
 	if trouble {
 		time.Sleep(2 * time.Second)
 		for range growths {
