Review case 6: the store's address changes in the settings, and nobody follows

Cause: reload applies the allowance of extra sends and the grace period only; the store's client keeps the address of the start.

--- a/review/rig2/instance.go
+++ b/review/rig2/instance.go
@@ -113,6 +113,25 @@
 	return i.ended
 }
 
+// ChangeSetting writes the settings file anew with another value of a field.
+func (i *Instance) ChangeSetting(name, value string) error {
+	text, err := os.ReadFile(i.settings)
+	if err != nil {
+		return err
+	}
+	lines := strings.Split(string(text), "\n")
+	for n, line := range lines {
+		if strings.HasPrefix(line, name+"=") {
+			lines[n] = name + "=" + value
+		}
+	}
+	path := i.settings + ".new"
+	if err := os.WriteFile(path, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path, i.settings)
+}
+
 // grace is bounds.grace_s, the time from SIGTERM to SIGKILL.
 const grace = 6 * time.Second
 
@@ -128,11 +147,7 @@
 		<-ended
 	}
 	i.Client.CloseIdleConnections()
-	text, err := os.ReadFile(i.settings)
-	if err != nil {
-		return err
-	}
-	if err := os.WriteFile(i.settings, []byte(strings.Replace(string(text), "bootstrap=true", "bootstrap=false", 1)), 0o600); err != nil {
+	if err := i.ChangeSetting("bootstrap", "false"); err != nil {
 		return err
 	}
 	return i.Start(record)
--- a/review/rig2/scene.go
+++ b/review/rig2/scene.go
@@ -94,15 +94,27 @@
 	}
 	s.Store = store
 	// Other runs on this machine use other addresses.
-	base := 20 + os.Getpid()%200
+	for try := range maxTries {
+		if s.Instances, err = s.machines((os.Getpid()+try*37)%200+20, more); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// maxTries is how many networks of loopback addresses are tried.
+const maxTries = 5
+
+// machines prepares the machines in a network of loopback addresses.
+func (s *Scene) machines(network int, more []string) (instances []*Instance, err error) {
 	for number, zone := range machineZones {
-		instance, err := NewInstance(fmt.Sprintf("front-%s-%d", zone, number+1), zone, fmt.Sprintf("127.0.%d.%d", base, 11+number), os.Args[2], s.folder, store.Address(), more...)
+		instance, err := NewInstance(fmt.Sprintf("front-%s-%d", zone, number+1), zone, fmt.Sprintf("127.0.%d.%d", network, 11+number), os.Args[2], s.folder, s.Store.Address(), more...)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		s.Instances = append(s.Instances, instance)
+		instances = append(instances, instance)
 	}
-	return nil
+	return instances, nil
 }
 
 // StartInstances starts the entry instances and waits until they are ready and registered.
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -39,17 +39,19 @@
 	events   []item
 	leases   map[uint64]*lease
 	lastID   uint64
+	handler  http.Handler
+	door     *door
+}
+
+// door is an address at which the store answers.
+type door struct {
 	listener net.Listener
+	server   *http.Server
 }
 
 // NewStore starts a store at a free port of the address.
 func NewStore(ip string) (*Store, error) {
 	s := &Store{changed: make(chan struct{}), revision: 5, items: make(map[string]item), leases: make(map[uint64]*lease)}
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return nil, err
-	}
-	s.listener = listener
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.answerKey)
 	mux.HandleFunc("GET /kv-range", s.answerRange)
@@ -58,13 +60,34 @@
 	mux.HandleFunc("POST /kv-lease", s.answerLease)
 	mux.HandleFunc("POST /kv-keep/{id}", s.answerKeep)
 	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.answerLeaseEnd)
-	go func() { _ = http.Serve(listener, mux) }()
+	s.handler = mux
+	if _, err := s.Move(ip); err != nil {
+		return nil, err
+	}
 	go s.expireLeases()
 	return s, nil
 }
 
 // Address returns the address of the store.
-func (s *Store) Address() string { return s.listener.Addr().String() }
+func (s *Store) Address() string { return s.door.listener.Addr().String() }
+
+// Move opens the store at another free port of the address, which is its address from now on. It answers at the former
+// one as well until closeFormer is called.
+func (s *Store) Move(ip string) (closeFormer func(), err error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return nil, err
+	}
+	former := s.door
+	s.door = &door{listener, &http.Server{Handler: s.handler}}
+	server := s.door.server
+	go func() { _ = server.Serve(listener) }()
+	return func() {
+		if former != nil {
+			_ = former.server.Close()
+		}
+	}, nil
+}
 
 // Put writes a key as the operator or a replica does, and returns the time of the store's confirmation.
 func (s *Store) Put(key, value string) time.Time {
